--- /dev/null
+++ b/flintreach/adapter/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator's wire in front of the decisions: codec, host and command."""
--- /dev/null
+++ b/flintreach/logic.py
@@ -0,0 +1,567 @@
+"""The decisions of flintreach.
+
+A host makes one `Pilot(settings)` an instance and calls `handle(now, events)` for each batch; the reply is
+the list of orders, in order.  Settings, events and orders are the dataclasses of `flintreach/interface.py`.
+The module is pure: no clock, no input or output, no ids; the same events give the same orders.
+The mechanism is the "closest" repartitioning of FLEX; `docs/design.md` tells what was kept and changed.
+"""
+
+import math
+import zlib
+from collections import deque
+
+from flintreach import interface as face
+from flintreach.interface import SECOND
+
+BEAT = SECOND // 4  # how often the pilot looks up
+RUN_EVERY = 10 * SECOND  # between runs of the repartitioning on an ordinary path
+RUN_SOON = 2 * SECOND  # between runs while a server warms up or is on trial
+SMOOTHING = 10  # seconds of demand that a slice's figure covers
+BETA = 0.7  # a slice gains a copy above this part of the mean demand of a server
+LOW_RUNS = 3  # runs for which a copy must have been too many before it goes
+DEV = 5.0  # step of the permitted deviation, in hundredths of a mean server's quota
+BAND = 10.0  # a run is skipped within the last deviation plus this
+SOLUTIONS = 30  # candidates a run
+ATTEMPTS = 20  # moves or swaps a candidate
+SPARE = 0.01  # weight of a slice's spare line
+JUDGED = 3  # seconds of sums on which a server is judged
+ENOUGH = 8  # tries without which nobody is judged
+DEAD = 0.85  # part unanswered from which a server counts as failing
+OUT_MOST = 0.25  # part of the fleet that may be out on our own judgement
+OUT_FOR = 8 * SECOND  # first time out; doubles with each failed trial
+TRIAL = 4 * SECOND  # how long a trial must look sound
+CHANNEL = 0.45  # part of the channel's limit that ordinary orders may fill
+URGENT = 0.9  # and urgent ones
+
+# What a server is to us, what comes in, what it becomes, and what is done.  A pair that is not here is refused:
+# the server stays as it is.  Closed servers hold no lines; tender ones gain at most one slice a run.
+MODES = {
+    ("unknown", "ready"): ("fit", None),
+    ("unknown", "started"): ("cold", "relieve"),
+    ("unknown", "leave"): ("leaving", None),
+    ("fit", "started"): ("cold", "relieve"),
+    ("fit", "leave"): ("leaving", None),
+    ("fit", "failing"): ("out", "strike"),
+    ("cold", "started"): ("cold", "relieve"),
+    ("cold", "warm"): ("fit", None),
+    ("cold", "leave"): ("leaving", None),
+    ("cold", "failing"): ("out", "strike"),
+    ("trial", "started"): ("cold", "relieve"),
+    ("trial", "sound"): ("fit", "pardon"),
+    ("trial", "leave"): ("leaving", None),
+    ("trial", "failing"): ("out", "strike"),
+    ("out", "started"): ("cold", "pardon"),
+    ("out", "due"): ("trial", "try"),
+    ("out", "leave"): ("leaving", None),
+    ("leaving", "ready"): ("fit", None),
+    ("leaving", "started"): ("cold", "relieve"),
+}
+CLOSED = ("out", "leaving")
+TENDER = ("cold", "trial")
+
+
+class Ring:
+    """Sums in buckets of one second that are used again.
+
+    >>> ring = Ring(4, 2)
+    >>> for second in range(6): ring.add(second * SECOND, second, 1)
+    >>> ring.total(5 * SECOND, 2), ring.total(5 * SECOND, 4), ring.total(9 * SECOND, 4)
+    ([9, 2], [14, 4], [0, 0])
+    """
+
+    __slots__ = ("stamps", "sums")
+
+    def __init__(self, size, width):
+        self.stamps = [-1] * size
+        self.sums = [[0] * width for _ in range(size)]
+
+    def add(self, now, *values):
+        turn = now // SECOND
+        at = turn % len(self.stamps)
+        if self.stamps[at] != turn:
+            self.stamps[at], self.sums[at] = turn, [0] * len(values)
+        self.sums[at] = [old + value for old, value in zip(self.sums[at], values)]
+
+    def total(self, now, span):
+        oldest = now // SECOND - span
+        fresh = [sums for stamp, sums in zip(self.stamps, self.sums) if stamp > oldest]
+        return [sum(column) for column in zip([0] * len(self.sums[0]), *fresh)]
+
+
+class Target:
+    """What the pilot holds of a server."""
+
+    __slots__ = ("server", "mode", "weight", "started", "heard", "until", "strikes", "ease")
+
+    def __init__(self, server):
+        self.server, self.mode, self.weight, self.started = server, "unknown", 1.0, 0
+        self.heard = Ring(JUDGED + 2, 4)  # tries, unanswered, succeeded, their latency in all
+        self.until = self.strikes = 0
+        self.ease = 1.0  # part of the quota that it is found to bear
+
+
+class Unit:
+    """What the pilot holds of a slice: what its table shall be and what has been ordered of it."""
+
+    __slots__ = ("slice", "ours", "since", "came", "copies", "low", "want", "have", "urgent")
+
+    def __init__(self, piece):
+        self.slice, self.ours, self.since = piece, False, 0
+        self.came = Ring(SMOOTHING, 1)
+        self.copies, self.low, self.urgent = 1, 0, False
+        self.want, self.have = {}, {}
+
+    def mains(self):
+        return [tgt for tgt, weight in self.want.items() if weight >= 1]
+
+
+class Partition:
+    """A map of units to targets with the gaps between load and quota, kept as it changes."""
+
+    def __init__(self, old, memory, demand, amounts, unit, tender):
+        self.old, self.holds = old, [set(held) for held in old]
+        self.memory, self.demand = memory[:], demand[:]  # gaps a target
+        self.amounts, self.unit, self.tender = amounts, unit, tender
+        self.gained, self.distance = [0] * len(old), 0
+
+    def put(self, p, x, sign):
+        """Unit p comes to target x (sign 1) or leaves it (-1)."""
+        (self.holds[x].add if sign > 0 else self.holds[x].discard)(p)
+        if p not in self.old[x]:
+            self.distance += sign
+            self.gained[x] += sign
+        self.memory[x] += sign * self.unit
+        self.demand[x] += sign * self.amounts[p]
+
+    def deviation(self, x, y):
+        return abs(self.memory[x] - self.memory[y]) + abs(self.demand[x] - self.demand[y])
+
+    def welcome(self, p, y):
+        """A target that warms up must not be pushed over: one slice a run, and only one that it can bear."""
+        if y not in self.tender or p in self.old[y]:
+            return True
+        return self.gained[y] < 1 and self.demand[y] + self.amounts[p] <= BAND
+
+    def swaps(self, x, y):
+        """The valid moves and swaps between two targets that bring them closer: (benefit, p, q)."""
+        memory, demand = self.memory[x] - self.memory[y], self.demand[x] - self.demand[y]
+        before, found = abs(memory) + abs(demand), []
+        mine = [p for p in sorted(self.holds[x] - self.holds[y]) if self.welcome(p, y)] + [None]
+        theirs = [q for q in sorted(self.holds[y] - self.holds[x]) if self.welcome(q, x)] + [None]
+        for p in mine:
+            for q in theirs:
+                moved = (self.amounts[p] if p is not None else 0) - (self.amounts[q] if q is not None else 0)
+                units = self.unit * ((p is not None) - (q is not None))
+                benefit = before - abs(memory - 2 * units) - abs(demand - 2 * moved)
+                if benefit > 1e-9:
+                    found.append((benefit, p, q))
+        return found
+
+    def worst(self):
+        """The widest gap; a target that warms up may lie below its quota."""
+        gaps = [max(abs(w) if w > 0 or x not in self.tender else 0, abs(a) if a > 0 or x not in self.tender else 0)
+                for x, (w, a) in enumerate(zip(self.memory, self.demand))]
+        return max(gaps, default=0.0)
+
+
+class Pilot:
+    def __init__(self, settings):
+        self.settings, self.now, self.orders, self.counter = settings, 0, [], 0
+        self.targets = {}  # server -> Target, in the order in which they were met
+        self.units = {piece: Unit(piece) for piece in settings.slices}
+        self.whole = None if settings.slices else Unit(face.Slice(0))  # a site without slices has one table
+        if self.whole:
+            self.whole.ours, self.units[self.whole.slice] = True, self.whole
+        self.joined = {}  # proxy -> deque of (mark, lines) not yet applied
+        self.most_joined, self.sums_at, self.wake_at = 0, 0, 0
+        self.marks, self.sent, self.ordinary_at = 0, deque(), 0
+        self.run_at, self.judge_at, self.dev, self.frozen = 0, 0, DEV, ""
+        self.level = {op: 1.0 for op in settings.operations}
+
+    def handle(self, now, events):
+        self.now, self.orders = now, []
+        if not self.wake_at:
+            self.run_at = now + RUN_EVERY
+            if self.settings.asks_roster:
+                self.orders.append(face.Observe(True))
+        for event in events:
+            self.HANDLERS[type(event)](self, event)
+        self.evacuate()
+        if now >= self.wake_at:
+            self.wake_at = now + BEAT
+            self.orders.append(face.Wake(self.wake_at))
+            self.beat()
+        self.send()
+        return self.orders
+
+    def log(self, text):
+        self.orders.append(face.Log(text))
+
+    def draw(self):
+        self.counter += 1
+        return zlib.crc32(b"%d %d" % (self.settings.seed, self.counter)) / 2**32
+
+    def pick(self, weighted):
+        """One of (weight, ...) rows, by weight."""
+        left = self.draw() * sum(row[0] for row in weighted)
+        for row in weighted:
+            left -= row[0]
+            if left < 0:
+                break
+        return row
+
+    # What comes in.
+
+    def target(self, server):
+        return self.targets.setdefault(server, Target(server))
+
+    def step(self, tgt, what, figures=""):
+        mode, effect = MODES.get((tgt.mode, what), (tgt.mode, None))
+        if mode != tgt.mode and tgt.mode != "unknown":
+            self.log(f"server {tgt.server.name}: {tgt.mode} to {mode}: {what} {figures}")
+        tgt.mode = mode
+        if effect == "relieve":
+            self.relieve(tgt)
+        elif effect == "strike":
+            tgt.strikes += 1
+            tgt.until = self.now + OUT_FOR * 2 ** min(tgt.strikes - 1, 3)
+        elif effect == "try":
+            tgt.until = self.now + TRIAL
+        elif effect == "pardon":
+            tgt.strikes = 0
+
+    def on_roster(self, event):
+        if event.how == "failed":
+            return self.orders.append(face.Observe(True))
+        listed = {}
+        for entry in event.entries:
+            tgt = self.target(entry.server)
+            listed[tgt] = True
+            tgt.weight = max(entry.weight, 1e-6)
+            fresh, tgt.started = entry.started > tgt.started, max(entry.started, tgt.started)
+            if entry.state != "ready":
+                self.step(tgt, "leave", entry.state)
+            elif fresh and self.warmth(tgt) < 1:
+                # A crash shorter than the list's delay brings a server back cold with its whole old load.
+                tgt.ease = 1.0
+                self.step(tgt, "started", f"{(self.now - tgt.started) / 1e9:.1f}s ago")
+            elif tgt.mode in ("unknown", "leaving"):
+                self.step(tgt, "ready")
+        if event.how != "delta":
+            for tgt in self.targets.values():
+                if tgt not in listed and tgt.mode != "unknown":
+                    self.step(tgt, "leave", "gone from the list")
+
+    def on_joined(self, event):
+        self.joined[event.proxy] = deque()
+        self.most_joined = max(self.most_joined, len(self.joined))
+        if self.whole:
+            self.orders.append(face.Bind(self.whole.slice, event.proxy))
+
+    def on_left(self, event):
+        self.joined.pop(event.proxy, None)
+
+    def on_given(self, event):
+        self.units[event.slice] = unit = Unit(event.slice)
+        unit.ours, unit.since = event.ours, self.now
+
+    def on_held(self, event):
+        unit, tgt = self.units[event.slice], self.target(event.server)
+        unit.have[tgt] = unit.want[tgt] = event.weight
+        unit.copies = max(1, len(unit.mains()))
+
+    def on_heard(self, event):
+        self.sums_at = self.now
+        good = event.tries - event.unanswered
+        self.target(event.server).heard.add(self.now, event.tries, event.unanswered, good, good * event.latency)
+
+    def on_demand(self, event):
+        self.sums_at = self.now
+        if not event.slice:
+            return
+        unit, tries = self.units[event.slice], event.tries
+        if event.unanswered > 0.2 * tries:
+            # Clients' repeats are in these sums: a retry storm must not read as demand that calls for copies.
+            tries = min(tries, self.demand(unit) * event.span / SECOND)
+        unit.came.add(self.now, tries)
+
+    def on_applied(self, event):
+        waiting = self.joined.get(event.proxy, ())
+        while waiting and waiting[0][0] <= event.number:
+            waiting.popleft()
+
+    def on_nothing(self, event):
+        pass
+
+    HANDLERS = {face.Roster: on_roster, face.Joined: on_joined, face.Left: on_left, face.Given: on_given,
+                face.Held: on_held, face.Heard: on_heard, face.Demand: on_demand, face.Applied: on_applied,
+                face.Woke: on_nothing, face.Probed: on_nothing, face.Told: on_nothing}
+
+    # Figures.
+
+    def warmth(self, tgt):
+        """The part of its capacity that a server surely has: evenly from the cold share to all of it."""
+        cold, age = self.settings.cold_share, self.now - tgt.started
+        if not tgt.started or age >= self.settings.warm_up:
+            return 1.0
+        return cold + (1 - cold) * max(age, 0) / self.settings.warm_up
+
+    def quotas(self):
+        """100 times listed weight over mean weight, less where a server warms up or is found to bear less."""
+        open_ = [tgt for tgt in self.targets.values() if tgt.mode not in CLOSED and tgt.mode != "unknown"]
+        mean = sum(tgt.weight for tgt in open_) / len(open_) if open_ else 1.0
+        part = {tgt: self.settings.cold_share if tgt.mode == "trial" else self.warmth(tgt) for tgt in open_}
+        return {tgt: 100 * tgt.weight / mean * tgt.ease * part[tgt] for tgt in open_}
+
+    def demand(self, unit):
+        """Invocations a second over the smoothing time, or over what is known of it."""
+        known = min(SMOOTHING, max(1, (self.now - unit.since) // SECOND))
+        return unit.came.total(self.now, SMOOTHING)[0] / known
+
+    def ours(self):
+        return [unit for unit in self.units.values() if unit.ours and unit is not self.whole]
+
+    def gaps(self, quota, units):
+        """By target, the load of its slices less its quota, both in hundredths of a mean server."""
+        amounts = {unit: self.demand(unit) for unit in units}
+        scale = sum(quota.values()) / max(sum(amounts.values()), 1e-9)
+        gap = {tgt: -share for tgt, share in quota.items()}
+        for unit, amount in amounts.items():
+            mains = unit.mains()
+            for tgt in mains:
+                if tgt in gap:
+                    gap[tgt] += amount * scale / len(mains)
+        return gap, {unit: amount * scale for unit, amount in amounts.items()}
+
+    # Slices that must move now.
+
+    def relieve(self, tgt):
+        """A just-started server keeps its least slice at the most: its old load would push it over."""
+        units = sorted((unit for unit in self.ours() if tgt in unit.want), key=self.demand)
+        kept = next((unit for unit in units if unit.want[tgt] >= 1), None)
+        for unit in units:
+            if unit is not kept:
+                del unit.want[tgt]
+                unit.urgent = True
+
+    def evacuate(self):
+        """Slices leave dead, draining and condemned servers at once; a table is never left empty if it can be."""
+        gap = None
+        for unit in self.ours():
+            for tgt in [tgt for tgt in unit.want if tgt.mode in CLOSED]:
+                del unit.want[tgt]
+                unit.urgent = True
+            if unit.mains():
+                continue
+            if gap is None:
+                quota = self.quotas()
+                gap, amounts = self.gaps(quota, self.ours())
+            if not gap:
+                continue
+            spare = next(iter(unit.want), None)
+            best = min(gap, key=lambda tgt: (tgt.mode in TENDER, gap[tgt]))
+            if best.mode not in TENDER and gap[best] > 0:  # the warm ones are full: let the others help
+                best = min(gap, key=gap.get)
+            if spare in gap and spare.mode not in TENDER and gap[spare] < gap[best] + 50:
+                best = spare  # it has met some of the slice's keys
+            unit.want[best] = 1.0
+            gap[best] += amounts[unit]
+            unit.copies, unit.urgent = 1, True
+
+    # What is weighed now and then.
+
+    def beat(self):
+        for tgt in self.targets.values():
+            if tgt.mode == "cold" and self.warmth(tgt) >= 1:
+                self.step(tgt, "warm")
+            elif tgt.mode == "out" and self.now >= tgt.until:
+                self.step(tgt, "due")
+        if self.now >= self.judge_at:
+            self.judge_at = self.now + SECOND
+            self.judge()
+        if self.whole:
+            return self.spread()
+        if self.now >= self.run_at and not self.freeze():
+            tender = any(tgt.mode in TENDER for tgt in self.targets.values())
+            self.run_at = self.now + (RUN_SOON if tender else RUN_EVERY)
+            self.run()
+        if not self.settings.exclusive:
+            self.spares()
+
+    def freeze(self):
+        """Cut off or blind, the pilot holds still rather than chase the little that it sees."""
+        few = len(self.joined) * 2 < self.most_joined
+        blind = self.now - self.sums_at > 3 * self.settings.period + 3 * SECOND
+        why = "few proxies" if few else "no sums" if blind else ""
+        if why != self.frozen:
+            self.log(f"freeze: {why or 'over'}: {len(self.joined)} of {self.most_joined} joined")
+        self.frozen = why
+        return why
+
+    def judge(self):
+        """Servers are judged against their peers in the same time, so that a general overload condemns nobody."""
+        seen = {}
+        for tgt in self.targets.values():
+            tries, unanswered, good, latency = tgt.heard.total(self.now, JUDGED)
+            if tries >= ENOUGH and tgt.mode not in CLOSED:
+                seen[tgt] = unanswered / tries, latency / good if good else math.inf
+        if not seen:
+            return
+        middle = sorted(share for share, _ in seen.values())[len(seen) // 2]
+        out = sum(tgt.mode == "out" for tgt in self.targets.values())
+        for tgt, (share, _) in seen.items():
+            if share >= DEAD and middle < DEAD / 2 and out + 1 <= OUT_MOST * len(self.quotas()):
+                out += 1
+                self.step(tgt, "failing", f"{share:.2f} unanswered, peers {middle:.2f}")
+            elif tgt.mode == "trial" and self.now >= tgt.until and share < max(0.3, 2 * middle):
+                self.step(tgt, "sound", f"{share:.2f} unanswered, peers {middle:.2f}")
+
+    def spread(self):
+        """Without slices: one table of all open servers, by quota in steps."""
+        self.whole.want = {tgt: max(1, round(share / 10)) for tgt, share in self.quotas().items()}
+        self.whole.urgent = any(tgt.mode in CLOSED for tgt in self.whole.have)
+
+    # The mechanism.
+
+    def run(self):
+        units, quota = self.ours(), self.quotas()
+        if not units or len(quota) < 2:
+            return
+        tgts = list(quota)
+        total = sum(self.demand(unit) for unit in units)
+        if total <= 0:
+            return
+        for unit in units:
+            self.count(unit, self.demand(unit), total / len(tgts), len(tgts))
+        scale = sum(quota.values()) / total
+        amounts = [self.demand(unit) * scale / unit.copies for unit in units]
+        memory = sum(quota.values()) / sum(unit.copies for unit in units)
+        place = {tgt: x for x, tgt in enumerate(tgts)}
+        old = [set() for _ in tgts]
+        for p, unit in enumerate(units):
+            for tgt in unit.mains():
+                if tgt in place:
+                    old[place[tgt]].add(p)
+        tender = {x for x, tgt in enumerate(tgts) if tgt.mode in TENDER}
+        base = [len(old[x]) * memory - quota[tgt] for x, tgt in enumerate(tgts)]
+        loads = [sum(amounts[p] for p in old[x]) - quota[tgt] for x, tgt in enumerate(tgts)]
+        start = Partition(old, base, loads, amounts, memory, tender)
+        recount = any(len(unit.mains()) != unit.copies for unit in units)
+        idle = any(not old[x] for x in tender)
+        if start.worst() <= self.dev + BAND and not recount and not idle:
+            return
+        best = None
+        for i in range(SOLUTIONS):
+            part = Partition(old, base, loads, amounts, memory, tender)
+            self.recount(part, units)
+            for _ in range(ATTEMPTS + 1):
+                key = (max(1, math.ceil(part.worst() / DEV)) * DEV, part.distance)
+                if best is None or key < best[0]:
+                    best = key, [set(held) for held in part.holds]
+                if key[0] <= DEV or not self.improve(part, 10 * i // SOLUTIONS):
+                    break
+        self.dev = best[0][0]
+        self.log(f"run: gap {start.worst():.0f}, dev {self.dev:.0f}, {best[0][1]} placements")
+        for p, unit in enumerate(units):
+            mains = [tgt for tgt in tgts if p in best[1][place[tgt]]]
+            if mains and set(mains) != set(unit.mains()):
+                unit.want = {tgt: 1.0 for tgt in mains} | {
+                    tgt: SPARE for tgt, weight in unit.want.items() if weight < 1 and tgt not in mains}
+
+    def count(self, unit, demand, mean, most):
+        """The copies rule: one more above beta of the mean, one less after some runs under half of that."""
+        if self.settings.exclusive:
+            return
+        while unit.copies < most and demand / unit.copies > BETA * mean:
+            unit.copies += 1
+            unit.low = 0
+        spare = unit.copies > 1 and demand / (unit.copies - 1) < BETA * mean / 2
+        unit.low = unit.low + 1 if spare else 0
+        if unit.low >= LOW_RUNS:
+            unit.copies, unit.low = unit.copies - 1, 0
+
+    def recount(self, part, units):
+        """Add copies where there is most room, and drop them where there is least."""
+        for p, unit in enumerate(units):
+            has = [x for x, held in enumerate(part.holds) if p in held]
+            for _ in range(unit.copies - len(has)):
+                free = [x for x in range(len(part.holds)) if p not in part.holds[x] and part.welcome(p, x)]
+                if free:
+                    part.put(p, min(free, key=lambda x: (part.demand[x] + part.memory[x] + 20 * self.draw())), 1)
+            for _ in range(len(has) - unit.copies):
+                x = max(has, key=lambda x: part.demand[x] + part.memory[x])
+                has.remove(x)
+                part.put(p, x, -1)
+
+    def improve(self, part, tenth):
+        """One move or swap, drawn as in the paper; False if the pair has none."""
+        size = len(part.holds)
+        pairs = [(part.deviation(x, y), x, y) for x in range(size) for y in range(x + 1, size)]
+        widest = tenth < 4 or (tenth >= 7 and self.draw() > 0.9)
+        _, x, y = max(pairs) if widest else self.pick(pairs)
+        swaps = part.swaps(x, y)
+        if not swaps:
+            return False
+        best = tenth < 1 or 4 <= tenth < 7 or (tenth >= 7 and self.draw() > 0.9)
+        _, p, q = max(swaps, key=lambda row: row[0]) if best else self.pick(swaps)
+        for unit, source, goal in ((p, x, y), (q, y, x)):
+            if unit is not None:
+                part.put(unit, source, -1)
+                part.put(unit, goal, 1)
+        return True
+
+    def spares(self):
+        """A slice with one line gets a second of hardly any weight, so that proxies have somewhere to go at once."""
+        bare = [unit for unit in self.ours() if len(unit.want) == 1]
+        if not bare:
+            return
+        quota = self.quotas()
+        sure = [tgt for tgt in quota if tgt.mode == "fit"]
+        gap, amounts = self.gaps(quota, self.ours())
+        for unit in self.ours():
+            for tgt, weight in unit.want.items():
+                if weight < 1 and tgt in gap:
+                    gap[tgt] += amounts[unit]
+        for unit in bare:
+            main = next(iter(unit.want))
+            others = [tgt for tgt in sure if tgt is not main]
+            apart = [tgt for tgt in others if tgt.server.zone != main.server.zone] or others
+            if apart:
+                best = min(apart, key=gap.get)
+                unit.want[best] = SPARE
+                gap[best] += amounts[unit]
+
+    # The channel.
+
+    def send(self):
+        """Urgent orders first, then what the channel surely takes; removals lead, standing values stay unsaid."""
+        limits, proxies = self.settings, len(self.joined)
+        while self.sent and self.sent[0] <= self.now - limits.messages_window:
+            self.sent.popleft()
+        waiting = sum(lines for marks in self.joined.values() for _, lines in marks)
+        most = limits.messages_most or math.inf
+        changed = [unit for unit in self.units.values() if unit.ours and unit.want != unit.have]
+        calm = self.now >= self.ordinary_at and len(self.sent) < most // 2
+        cost, lines = proxies * (limits.message_head + 1), []
+        if len(self.sent) + 1 >= most:
+            return
+        for unit in sorted(changed, key=lambda unit: not unit.urgent):
+            room = (URGENT if unit.urgent else CHANNEL) * limits.channel_limit - waiting
+            delta = [face.SetLine(unit.slice, tgt.server, 0) for tgt in unit.have if tgt not in unit.want]
+            if limits.exclusive and unit.want:
+                delta = []
+            delta += [face.SetLine(unit.slice, tgt.server, weight) for tgt, weight in unit.want.items()
+                      if unit.have.get(tgt) != weight]
+            if (unit.urgent or calm) and cost + proxies * len(delta) <= room:
+                cost += proxies * len(delta)
+                lines += delta
+                unit.have, unit.urgent = dict(unit.want), False
+        if not lines:
+            return
+        self.orders += lines
+        self.marks = self.marks % 65535 + 1
+        self.orders.append(face.Mark(self.marks))
+        for marks in self.joined.values():
+            marks.append((self.marks, cost / proxies))
+        self.sent.append(self.now)
+        self.ordinary_at = self.now + SECOND
