--- a/flintreach/adapter/host.py
+++ b/flintreach/adapter/host.py
@@ -59,12 +59,14 @@
         def of(key: str, default: str, place: int = place) -> str:
             return config.get(f"request_classes.{place}.{key}", default)
 
+        def marked(values: list[str], place: int = place) -> bool:
+            return place < len(values) and truth(values[place])
+
         told.operations.append(face.Operation(
             name=of("name", str(place)), place=place, objective=time(of("objective", "1")),
             integration_timeout=time(of("hard_limit", "4")), billed_value=real(of("worth", "1")),
             effect=EFFECTS.get(of("idempotency", ""), "side-effecting"), group=of("group", "all"),
-            window=time(of("repeat_window", "0")), writes=truth(writes[place]) if place < len(writes) else False,
-            home_only=truth(home[place]) if place < len(home) else False))
+            window=time(of("repeat_window", "0")), writes=marked(writes), home_only=marked(home)))
     return told
 
 
--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -30,31 +30,25 @@
 OUT_MOST = 0.25  # part of the fleet that may be out on our own judgement
 OUT_FOR = 8 * SECOND  # first time out; doubles with each failed trial
 TRIAL = 4 * SECOND  # how long a trial must look sound
+HARD_SHARE = 0.1  # part unanswered, and
+HARD_LATENCY = 0.6  # part of the latency objective, above which a server counts as strained
+LEVEL_DOWN, LEVEL_UP, LEVEL_LEAST = 0.85, 0.05, 0.2  # a second; how levels fall and come back
 CHANNEL = 0.45  # part of the channel's limit that ordinary orders may fill
 URGENT = 0.9  # and urgent ones
 
-# What a server is to us, what comes in, what it becomes, and what is done.  A pair that is not here is refused:
-# the server stays as it is.  Closed servers hold no lines; tender ones gain at most one slice a run.
+# What a server is to us, what comes in, what it becomes, and what is done.  A pair that is not here is
+# refused: the server stays as it is.  Closed servers hold no lines; tender ones gain one slice a run at most.
 MODES = {
+    ("any", "leave"): ("leaving", None),
+    ("any", "started"): ("cold", "relieve"),
     ("unknown", "ready"): ("fit", None),
-    ("unknown", "started"): ("cold", "relieve"),
-    ("unknown", "leave"): ("leaving", None),
-    ("fit", "started"): ("cold", "relieve"),
-    ("fit", "leave"): ("leaving", None),
-    ("fit", "failing"): ("out", "strike"),
-    ("cold", "started"): ("cold", "relieve"),
+    ("leaving", "ready"): ("fit", None),
     ("cold", "warm"): ("fit", None),
-    ("cold", "leave"): ("leaving", None),
+    ("fit", "failing"): ("out", "strike"),
     ("cold", "failing"): ("out", "strike"),
-    ("trial", "started"): ("cold", "relieve"),
-    ("trial", "sound"): ("fit", "pardon"),
-    ("trial", "leave"): ("leaving", None),
     ("trial", "failing"): ("out", "strike"),
-    ("out", "started"): ("cold", "pardon"),
+    ("trial", "sound"): ("fit", "pardon"),
     ("out", "due"): ("trial", "try"),
-    ("out", "leave"): ("leaving", None),
-    ("leaving", "ready"): ("fit", None),
-    ("leaving", "started"): ("cold", "relieve"),
 }
 CLOSED = ("out", "leaving")
 TENDER = ("cold", "trial")
@@ -91,24 +85,25 @@
 class Target:
     """What the pilot holds of a server."""
 
-    __slots__ = ("server", "mode", "weight", "started", "heard", "until", "strikes", "ease")
+    __slots__ = ("server", "mode", "weight", "started", "heard", "until", "strikes", "ease", "level")
 
     def __init__(self, server):
         self.server, self.mode, self.weight, self.started = server, "unknown", 1.0, 0
         self.heard = Ring(JUDGED + 2, 4)  # tries, unanswered, succeeded, their latency in all
         self.until = self.strikes = 0
         self.ease = 1.0  # part of the quota that it is found to bear
+        self.level = 1.0  # part of the cheapest operation that it is found to bear
 
 
 class Unit:
     """What the pilot holds of a slice: what its table shall be and what has been ordered of it."""
 
-    __slots__ = ("slice", "ours", "since", "came", "copies", "low", "want", "have", "urgent")
+    __slots__ = ("slice", "ours", "since", "came", "copies", "low", "want", "have", "level", "urgent")
 
     def __init__(self, piece):
         self.slice, self.ours, self.since = piece, False, 0
         self.came = Ring(SMOOTHING, 1)
-        self.copies, self.low, self.urgent = 1, 0, False
+        self.copies, self.low, self.level, self.urgent = 1, 0, 1.0, False
         self.want, self.have = {}, {}
 
     def mains(self):
@@ -133,6 +128,9 @@
         self.memory[x] += sign * self.unit
         self.demand[x] += sign * self.amounts[p]
 
+    def load(self, x):
+        return self.memory[x] + self.demand[x]
+
     def deviation(self, x, y):
         return abs(self.memory[x] - self.memory[y]) + abs(self.demand[x] - self.demand[y])
 
@@ -158,10 +156,9 @@
         return found
 
     def worst(self):
-        """The widest gap; a target that warms up may lie below its quota."""
-        gaps = [max(abs(w) if w > 0 or x not in self.tender else 0, abs(a) if a > 0 or x not in self.tender else 0)
-                for x, (w, a) in enumerate(zip(self.memory, self.demand))]
-        return max(gaps, default=0.0)
+        """The widest gap; a target that warms up may lie below its quota once it holds a slice."""
+        return max(max(w, a) if x in self.tender and self.holds[x] else max(abs(w), abs(a))
+                   for x, (w, a) in enumerate(zip(self.memory, self.demand)))
 
 
 class Pilot:
@@ -176,7 +173,7 @@
         self.most_joined, self.sums_at, self.wake_at = 0, 0, 0
         self.marks, self.sent, self.ordinary_at = 0, deque(), 0
         self.run_at, self.judge_at, self.dev, self.frozen = 0, 0, DEV, ""
-        self.level = {op: 1.0 for op in settings.operations}
+        self.ops = sorted(settings.operations, key=lambda op: op.billed_value)  # the cheapest first
 
     def handle(self, now, events):
         self.now, self.orders = now, []
@@ -185,7 +182,8 @@
             if self.settings.asks_roster:
                 self.orders.append(face.Observe(True))
         for event in events:
-            self.HANDLERS[type(event)](self, event)
+            if type(event) in self.HANDLERS:
+                self.HANDLERS[type(event)](self, event)
         self.evacuate()
         if now >= self.wake_at:
             self.wake_at = now + BEAT
@@ -216,7 +214,7 @@
         return self.targets.setdefault(server, Target(server))
 
     def step(self, tgt, what, figures=""):
-        mode, effect = MODES.get((tgt.mode, what), (tgt.mode, None))
+        mode, effect = MODES.get((tgt.mode, what)) or MODES.get(("any", what)) or (tgt.mode, None)
         if mode != tgt.mode and tgt.mode != "unknown":
             self.log(f"server {tgt.server.name}: {tgt.mode} to {mode}: {what} {figures}")
         tgt.mode = mode
@@ -273,7 +271,8 @@
     def on_heard(self, event):
         self.sums_at = self.now
         good = event.tries - event.unanswered
-        self.target(event.server).heard.add(self.now, event.tries, event.unanswered, good, good * event.latency)
+        heard = self.target(event.server).heard
+        heard.add(self.now, event.tries, event.unanswered, good, good * event.latency)
 
     def on_demand(self, event):
         self.sums_at = self.now
@@ -281,7 +280,7 @@
             return
         unit, tries = self.units[event.slice], event.tries
         if event.unanswered > 0.2 * tries:
-            # Clients' repeats are in these sums: a retry storm must not read as demand that calls for copies.
+            # A retry storm in these sums must not read as demand that calls for copies.
             tries = min(tries, self.demand(unit) * event.span / SECOND)
         unit.came.add(self.now, tries)
 
@@ -290,12 +289,8 @@
         while waiting and waiting[0][0] <= event.number:
             waiting.popleft()
 
-    def on_nothing(self, event):
-        pass
-
     HANDLERS = {face.Roster: on_roster, face.Joined: on_joined, face.Left: on_left, face.Given: on_given,
-                face.Held: on_held, face.Heard: on_heard, face.Demand: on_demand, face.Applied: on_applied,
-                face.Woke: on_nothing, face.Probed: on_nothing, face.Told: on_nothing}
+                face.Held: on_held, face.Heard: on_heard, face.Demand: on_demand, face.Applied: on_applied}
 
     # Figures.
 
@@ -345,7 +340,7 @@
                 unit.urgent = True
 
     def evacuate(self):
-        """Slices leave dead, draining and condemned servers at once; a table is never left empty if it can be."""
+        """Slices leave dead, draining and condemned servers at once; no table stays empty if it can be."""
         gap = None
         for unit in self.ours():
             for tgt in [tgt for tgt in unit.want if tgt.mode in CLOSED]:
@@ -399,12 +394,13 @@
         return why
 
     def judge(self):
-        """Servers are judged against their peers in the same time, so that a general overload condemns nobody."""
+        """Judged against peers in the same time, so that a general overload condemns nobody."""
         seen = {}
         for tgt in self.targets.values():
             tries, unanswered, good, latency = tgt.heard.total(self.now, JUDGED)
             if tries >= ENOUGH and tgt.mode not in CLOSED:
                 seen[tgt] = unanswered / tries, latency / good if good else math.inf
+                self.relent(tgt, *seen[tgt])
         if not seen:
             return
         middle = sorted(share for share, _ in seen.values())[len(seen) // 2]
@@ -416,6 +412,14 @@
             elif tgt.mode == "trial" and self.now >= tgt.until and share < max(0.3, 2 * middle):
                 self.step(tgt, "sound", f"{share:.2f} unanswered, peers {middle:.2f}")
 
+    def relent(self, tgt, share, latency):
+        """Late and unanswered work is lost: a strained server is sent less of the cheapest operation."""
+        objective = self.ops[0].objective
+        if share > HARD_SHARE or latency > HARD_LATENCY * objective:
+            tgt.level = max(LEVEL_LEAST, tgt.level * LEVEL_DOWN)
+        elif share < HARD_SHARE / 2 and latency < HARD_LATENCY * objective * 2 / 3:
+            tgt.level = min(1.0, tgt.level + LEVEL_UP)
+
     def spread(self):
         """Without slices: one table of all open servers, by quota in steps."""
         self.whole.want = {tgt: max(1, round(share / 10)) for tgt, share in self.quotas().items()}
@@ -450,7 +454,7 @@
         idle = any(not old[x] for x in tender)
         if start.worst() <= self.dev + BAND and not recount and not idle:
             return
-        best = None
+        best = None  # a candidate that fits a smaller deviation wins, then one with fewer changed placements
         for i in range(SOLUTIONS):
             part = Partition(old, base, loads, amounts, memory, tender)
             self.recount(part, units)
@@ -465,7 +469,7 @@
         for p, unit in enumerate(units):
             mains = [tgt for tgt in tgts if p in best[1][place[tgt]]]
             if mains and set(mains) != set(unit.mains()):
-                unit.want = {tgt: 1.0 for tgt in mains} | {
+                unit.want = dict.fromkeys(mains, 1.0) | {
                     tgt: SPARE for tgt, weight in unit.want.items() if weight < 1 and tgt not in mains}
 
     def count(self, unit, demand, mean, most):
@@ -487,9 +491,9 @@
             for _ in range(unit.copies - len(has)):
                 free = [x for x in range(len(part.holds)) if p not in part.holds[x] and part.welcome(p, x)]
                 if free:
-                    part.put(p, min(free, key=lambda x: (part.demand[x] + part.memory[x] + 20 * self.draw())), 1)
+                    part.put(p, min(free, key=lambda x: part.load(x) + 20 * self.draw()), 1)
             for _ in range(len(has) - unit.copies):
-                x = max(has, key=lambda x: part.demand[x] + part.memory[x])
+                x = max(has, key=part.load)
                 has.remove(x)
                 part.put(p, x, -1)
 
@@ -511,7 +515,7 @@
         return True
 
     def spares(self):
-        """A slice with one line gets a second of hardly any weight, so that proxies have somewhere to go at once."""
+        """A slice's second line of hardly any weight gives proxies somewhere to go before the pilot knows."""
         bare = [unit for unit in self.ours() if len(unit.want) == 1]
         if not bare:
             return
@@ -534,34 +538,47 @@
     # The channel.
 
     def send(self):
-        """Urgent orders first, then what the channel surely takes; removals lead, standing values stay unsaid."""
+        """Urgent orders first, then what the channel surely takes; removals lead, nothing is said twice."""
         limits, proxies = self.settings, len(self.joined)
         while self.sent and self.sent[0] <= self.now - limits.messages_window:
             self.sent.popleft()
         waiting = sum(lines for marks in self.joined.values() for _, lines in marks)
         most = limits.messages_most or math.inf
-        changed = [unit for unit in self.units.values() if unit.ours and unit.want != unit.have]
-        calm = self.now >= self.ordinary_at and len(self.sent) < most // 2
+        calm = self.now >= self.ordinary_at and len(self.sent) < most / 2
         cost, lines = proxies * (limits.message_head + 1), []
         if len(self.sent) + 1 >= most:
             return
+        changed = [unit for unit in self.units.values() if self.changed(unit)]
         for unit in sorted(changed, key=lambda unit: not unit.urgent):
             room = (URGENT if unit.urgent else CHANNEL) * limits.channel_limit - waiting
             delta = [face.SetLine(unit.slice, tgt.server, 0) for tgt in unit.have if tgt not in unit.want]
             if limits.exclusive and unit.want:
-                delta = []
+                delta = []  # the new line takes the place of the old
             delta += [face.SetLine(unit.slice, tgt.server, weight) for tgt, weight in unit.want.items()
                       if unit.have.get(tgt) != weight]
+            level = self.let_in(unit)
+            if level != unit.level:
+                delta.append(face.Admit(unit.slice, (self.ops[0],), level, 1))
             if (unit.urgent or calm) and cost + proxies * len(delta) <= room:
                 cost += proxies * len(delta)
                 lines += delta
-                unit.have, unit.urgent = dict(unit.want), False
+                unit.have, unit.level, unit.urgent = dict(unit.want), level, False
         if not lines:
             return
-        self.orders += lines
         self.marks = self.marks % 65535 + 1
-        self.orders.append(face.Mark(self.marks))
+        self.orders += [*lines, face.Mark(self.marks)]
         for marks in self.joined.values():
             marks.append((self.marks, cost / proxies))
         self.sent.append(self.now)
         self.ordinary_at = self.now + SECOND
+
+    def let_in(self, unit):
+        """A slice's level in steps, since each costs a line at each proxy."""
+        if self.settings.admits_by != "share":
+            return 1.0
+        return round(min((tgt.level for tgt in unit.mains()), default=1.0), 1)
+
+    def changed(self, unit):
+        # An ordinary change that waits may still name a server that has begun to drain.
+        unit.urgent = unit.urgent or any(tgt.mode in CLOSED for tgt in unit.have)
+        return unit.ours and (unit.want != unit.have or self.let_in(unit) != unit.level)
--- /dev/null
+++ b/tests/test_logic.py
@@ -0,0 +1,143 @@
+"""The decisions, by cases, with no bench."""
+
+import pytest
+from helpers import Fleet
+
+from flintreach import interface as face
+from flintreach.interface import SECOND
+from flintreach.logic import MODES
+
+
+@pytest.mark.parametrize("state, settings", [
+    ("draining", {}), ("gone", {}), ("gone", {"messages_most": 12}), ("draining", {"channel_limit": 1500.0}),
+])
+def test_slices_leave_a_leaving_server_at_once(state, settings):
+    fleet = Fleet(**settings)
+    fleet.run(5)
+    fleet.say(fleet.roster(s1=state))
+    assert not fleet.holds(fleet.servers[1])
+    assert all(fleet.mains(piece) for piece in fleet.slices)
+
+
+def test_a_waiting_change_that_names_a_leaving_server_becomes_urgent():
+    """The ordinary change was held back by the pace when the server began to drain."""
+    fleet = Fleet(messages_most=4)
+    fleet.run(3)
+    unit = fleet.pilot.units[fleet.slices[1]]
+    unit.want = {fleet.pilot.target(fleet.servers[2]): 1.0}
+    fleet.pilot.ordinary_at = fleet.now + 100 * SECOND
+    fleet.say(fleet.roster(s1="draining"))
+    assert not fleet.holds(fleet.servers[1])
+
+
+def test_ordinary_orders_flow_without_a_message_limit():
+    fleet = Fleet(messages_most=0)
+    fleet.run(10)
+    assert all(len(table) == 2 for table in fleet.tables.values())
+
+
+def test_hot_slice_gains_copies_and_loses_them_late():
+    fleet = Fleet(servers=5, slices=20)
+    fleet.rates[fleet.slices[3]] = 60
+    fleet.run(25)
+    assert len(fleet.mains(fleet.slices[3])) > 1
+    fleet.rates[fleet.slices[3]] = 4
+    fleet.run(11)
+    assert len(fleet.mains(fleet.slices[3])) > 1
+    fleet.run(120)
+    assert len(fleet.mains(fleet.slices[3])) == 1
+
+
+def test_a_retry_storm_is_not_demand():
+    fleet = Fleet(servers=5, slices=20)
+    fleet.run(12)
+    before = fleet.pilot.demand(fleet.pilot.units[fleet.slices[3]])
+    for _ in range(5):
+        fleet.now += SECOND
+        fleet.say(face.Demand(fleet.slices[3], None, fleet.ops[0], 90, 80, SECOND))
+    assert fleet.pilot.demand(fleet.pilot.units[fleet.slices[3]]) <= 1.2 * before
+
+
+def test_a_fast_restart_is_relieved_of_its_old_load():
+    """No list showed it gone: only the new start time tells that it is cold."""
+    fleet = Fleet(servers=4, slices=24)
+    fleet.run(5)
+    held = len(fleet.holds(fleet.servers[1]))
+    fleet.say(fleet.roster(s1=("ready", fleet.now - SECOND)))
+    assert held > 4 and len(fleet.holds(fleet.servers[1])) <= 1
+    fleet.run(3)
+    assert len(fleet.holds(fleet.servers[1])) <= 2
+
+
+@pytest.mark.parametrize("failing, condemned", [
+    ({1: 1.0}, [1]), ({1: 0.1}, []), ({0: 0.3, 1: 0.3, 2: 0.3, 3: 0.3}, []),
+    (dict.fromkeys(range(4), 1.0), []),
+])
+def test_health_is_judged_against_peers(failing, condemned):
+    fleet = Fleet(demand=8)
+    fleet.run(5)
+    fleet.failing = {fleet.servers[n]: share for n, share in failing.items()}
+    fleet.run(5)
+    out = [n for n, server in enumerate(fleet.servers) if fleet.pilot.target(server).mode == "out"]
+    assert out == condemned
+    assert all(not fleet.holds(fleet.servers[n]) for n in condemned)
+
+
+def test_a_flapping_server_stays_out_longer_each_time():
+    fleet = Fleet(slices=24)
+    fleet.run(5)
+    fleet.failing = {fleet.servers[1]: 1.0}
+    fleet.run(120)
+    tgt = fleet.pilot.target(fleet.servers[1])
+    assert 3 <= tgt.strikes <= 6
+
+
+@pytest.mark.parametrize("blind", ["few", "sums"])
+def test_blind_or_cut_off_the_pilot_moves_nothing(blind):
+    fleet = Fleet()
+    fleet.run(8)
+    if blind == "few":
+        fleet.say(*[face.Left(proxy) for proxy in fleet.proxies[1:]])
+    tables = {piece: dict(table) for piece, table in fleet.tables.items()}
+    fleet.rates[fleet.slices[0]] = 40 if blind == "few" else 4
+    fleet.run(30, sums=blind != "sums")
+    assert fleet.tables == tables
+
+
+def test_messages_and_lines_stay_within_the_limits():
+    fleet = Fleet(servers=6, slices=60, messages_most=6, channel_limit=2000.0, warm_up=4 * SECOND)
+    for n in range(60):
+        fleet.run(1)
+        server = f"s{n % 6}"
+        fleet.say(fleet.roster(**{server: "gone" if n % 2 else ("ready", fleet.now)}))
+    sent = [now for now, orders in fleet.replies if any(isinstance(order, face.SetLine) for order in orders)]
+    for now in sent:
+        assert sum(now - 10 * SECOND < other <= now for other in sent) <= 6
+
+
+def test_without_slices_all_open_servers_share_one_table():
+    fleet = Fleet(slices=0)
+    fleet.run(1)
+    (table,) = [table for table in fleet.tables.values() if table]
+    assert set(table) == set(fleet.servers)
+    fleet.say(fleet.roster(s2="gone"))
+    fleet.run(1)
+    assert fleet.servers[2] not in table
+
+
+def test_each_mode_answers_or_refuses_each_input():
+    modes = {mode for mode, _ in MODES} | {mode for mode, _ in MODES.values()}
+    assert modes == {"any", "unknown", "fit", "cold", "trial", "out", "leaving"}
+    assert all((mode, "failing") in MODES for mode in ("fit", "cold", "trial"))
+
+
+def test_the_same_events_give_the_same_orders():
+    def day():
+        fleet = Fleet(servers=5, slices=20)
+        fleet.rates[fleet.slices[3]] = 60
+        fleet.run(15)
+        fleet.say(fleet.roster(s1="gone"))
+        fleet.run(15)
+        return [(now, type(order).__name__, getattr(order, "weight", None)) for now, orders in fleet.replies
+                for order in orders]
+    assert day() == day()
