No spare lines; other pilots' slices count as even background

Tried: a second line of weight 0.01 in another zone for each slice, as somewhere to go before the pilot knows. Copies now count the whole mean.

--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -23,10 +23,9 @@
 BAND = 10.0  # a run is skipped within the last deviation plus this
 SOLUTIONS = 30  # candidates a run
 ATTEMPTS = 20  # moves or swaps a candidate
-SPARE = 0.01  # weight of a slice's spare line
 JUDGED = 3  # seconds of sums on which a server is judged
 ENOUGH = 8  # tries without which nobody is judged
-DEAD = 0.85  # part unanswered from which a server counts as failing
+DEAD = 0.95  # part unanswered from which a server counts as failing
 OUT_MOST = 0.25  # part of the fleet that may be out on our own judgement
 OUT_FOR = 8 * SECOND  # first time out; doubles with each failed trial
 TRIAL = 4 * SECOND  # how long a trial must look sound
@@ -106,9 +105,6 @@
         self.copies, self.low, self.level, self.urgent = 1, 0, 1.0, False
         self.want, self.have = {}, {}
 
-    def mains(self):
-        return [tgt for tgt, weight in self.want.items() if weight >= 1]
-
 
 class Partition:
     """A map of units to targets with the gaps between load and quota, kept as it changes."""
@@ -172,6 +168,7 @@
         self.joined = {}  # proxy -> deque of (mark, lines) not yet applied
         self.most_joined, self.sums_at, self.wake_at = 0, 0, 0
         self.marks, self.sent, self.ordinary_at = 0, deque(), 0
+        self.pressure = 1.0  # tries for each answer, over the fleet
         self.run_at, self.judge_at, self.dev, self.frozen = 0, 0, DEV, ""
         self.ops = sorted(settings.operations, key=lambda op: op.billed_value)  # the cheapest first
 
@@ -220,6 +217,7 @@
         tgt.mode = mode
         if effect == "relieve":
             self.relieve(tgt)
+            self.run_at = min(self.run_at, self.now + RUN_SOON)
         elif effect == "strike":
             tgt.strikes += 1
             tgt.until = self.now + OUT_FOR * 2 ** min(tgt.strikes - 1, 3)
@@ -266,13 +264,13 @@
     def on_held(self, event):
         unit, tgt = self.units[event.slice], self.target(event.server)
         unit.have[tgt] = unit.want[tgt] = event.weight
-        unit.copies = max(1, len(unit.mains()))
+        unit.copies = max(1, len(unit.want))
 
     def on_heard(self, event):
         self.sums_at = self.now
         good = event.tries - event.unanswered
-        heard = self.target(event.server).heard
-        heard.add(self.now, event.tries, event.unanswered, good, good * event.latency)
+        tgt = self.target(event.server)
+        tgt.heard.add(self.now, event.tries, event.unanswered, good, good * event.latency)
 
     def on_demand(self, event):
         self.sums_at = self.now
@@ -305,7 +303,9 @@
         """100 times listed weight over mean weight, less where a server warms up or is found to bear less."""
         open_ = [tgt for tgt in self.targets.values() if tgt.mode not in CLOSED and tgt.mode != "unknown"]
         mean = sum(tgt.weight for tgt in open_) / len(open_) if open_ else 1.0
-        part = {tgt: self.settings.cold_share if tgt.mode == "trial" else self.warmth(tgt) for tgt in open_}
+        # Retries and overload press on a cold server too: it takes less as tries outnumber answers.
+        bears = {tgt: self.settings.cold_share if tgt.mode == "trial" else self.warmth(tgt) for tgt in open_}
+        part = {tgt: bear / self.pressure if bear < 1 else 1 for tgt, bear in bears.items()}
         return {tgt: 100 * tgt.weight / mean * tgt.ease * part[tgt] for tgt in open_}
 
     def demand(self, unit):
@@ -316,28 +316,30 @@
     def ours(self):
         return [unit for unit in self.units.values() if unit.ours and unit is not self.whole]
 
-    def gaps(self, quota, units):
-        """By target, the load of its slices less its quota, both in hundredths of a mean server."""
-        amounts = {unit: self.demand(unit) for unit in units}
-        scale = sum(quota.values()) / max(sum(amounts.values()), 1e-9)
-        gap = {tgt: -share for tgt, share in quota.items()}
-        for unit, amount in amounts.items():
-            mains = unit.mains()
-            for tgt in mains:
+    def loads(self, quota):
+        """Demand by unit, and load by target less its quota, both in hundredths of a mean server.
+
+        What other pilots' slices bring is background, taken to be in proportion to quota.
+        """
+        units, total = self.ours(), sum(quota.values())
+        share = len(units) / max(1, len(self.units))
+        scale = total * share / max(sum(self.demand(unit) for unit in units), 1e-9)
+        amounts = {unit: self.demand(unit) * scale for unit in units}
+        gap = {tgt: -part * share for tgt, part in quota.items()}
+        for unit in units:
+            for tgt in unit.want:
                 if tgt in gap:
-                    gap[tgt] += amount * scale / len(mains)
-        return gap, {unit: amount * scale for unit, amount in amounts.items()}
+                    gap[tgt] += amounts[unit] / len(unit.want)
+        return amounts, gap
 
     # Slices that must move now.
 
     def relieve(self, tgt):
         """A just-started server keeps its least slice at the most: its old load would push it over."""
         units = sorted((unit for unit in self.ours() if tgt in unit.want), key=self.demand)
-        kept = next((unit for unit in units if unit.want[tgt] >= 1), None)
-        for unit in units:
-            if unit is not kept:
-                del unit.want[tgt]
-                unit.urgent = True
+        for unit in units[1:]:
+            del unit.want[tgt]
+            unit.urgent = True
 
     def evacuate(self):
         """Slices leave dead, draining and condemned servers at once; no table stays empty if it can be."""
@@ -346,19 +348,15 @@
             for tgt in [tgt for tgt in unit.want if tgt.mode in CLOSED]:
                 del unit.want[tgt]
                 unit.urgent = True
-            if unit.mains():
+            if unit.want:
                 continue
             if gap is None:
-                quota = self.quotas()
-                gap, amounts = self.gaps(quota, self.ours())
+                amounts, gap = self.loads(self.quotas())
             if not gap:
                 continue
-            spare = next(iter(unit.want), None)
             best = min(gap, key=lambda tgt: (tgt.mode in TENDER, gap[tgt]))
             if best.mode not in TENDER and gap[best] > 0:  # the warm ones are full: let the others help
                 best = min(gap, key=gap.get)
-            if spare in gap and spare.mode not in TENDER and gap[spare] < gap[best] + 50:
-                best = spare  # it has met some of the slice's keys
             unit.want[best] = 1.0
             gap[best] += amounts[unit]
             unit.copies, unit.urgent = 1, True
@@ -380,8 +378,6 @@
             tender = any(tgt.mode in TENDER for tgt in self.targets.values())
             self.run_at = self.now + (RUN_SOON if tender else RUN_EVERY)
             self.run()
-        if not self.settings.exclusive:
-            self.spares()
 
     def freeze(self):
         """Cut off or blind, the pilot holds still rather than chase the little that it sees."""
@@ -395,18 +391,20 @@
 
     def judge(self):
         """Judged against peers in the same time, so that a general overload condemns nobody."""
-        seen = {}
+        seen, tried, answered = {}, 0, 0
         for tgt in self.targets.values():
             tries, unanswered, good, latency = tgt.heard.total(self.now, JUDGED)
+            tried, answered = tried + tries, answered + good
             if tries >= ENOUGH and tgt.mode not in CLOSED:
                 seen[tgt] = unanswered / tries, latency / good if good else math.inf
                 self.relent(tgt, *seen[tgt])
         if not seen:
             return
+        self.pressure = tried / max(answered, 0.2 * tried)
         middle = sorted(share for share, _ in seen.values())[len(seen) // 2]
         out = sum(tgt.mode == "out" for tgt in self.targets.values())
         for tgt, (share, _) in seen.items():
-            if share >= DEAD and middle < DEAD / 2 and out + 1 <= OUT_MOST * len(self.quotas()):
+            if share >= DEAD and middle < 0.4 and out + 1 <= OUT_MOST * len(self.quotas()):
                 out += 1
                 self.step(tgt, "failing", f"{share:.2f} unanswered, peers {middle:.2f}")
             elif tgt.mode == "trial" and self.now >= tgt.until and share < max(0.3, 2 * middle):
@@ -429,28 +427,20 @@
 
     def run(self):
         units, quota = self.ours(), self.quotas()
-        if not units or len(quota) < 2:
-            return
-        tgts = list(quota)
-        total = sum(self.demand(unit) for unit in units)
-        if total <= 0:
+        demand, gap = self.loads(quota)
+        if len(quota) < 2 or not sum(demand.values()):
             return
+        tgts, mean = list(quota), sum(quota.values()) / len(quota)
         for unit in units:
-            self.count(unit, self.demand(unit), total / len(tgts), len(tgts))
-        scale = sum(quota.values()) / total
-        amounts = [self.demand(unit) * scale / unit.copies for unit in units]
-        memory = sum(quota.values()) / sum(unit.copies for unit in units)
-        place = {tgt: x for x, tgt in enumerate(tgts)}
-        old = [set() for _ in tgts]
-        for p, unit in enumerate(units):
-            for tgt in unit.mains():
-                if tgt in place:
-                    old[place[tgt]].add(p)
+            self.count(unit, demand[unit], mean, len(tgts))
+        amounts = [demand[unit] / unit.copies for unit in units]
+        memory = mean * len(tgts) / sum(unit.copies for unit in units)
+        old = [{p for p, unit in enumerate(units) if tgt in unit.want} for tgt in tgts]
         tender = {x for x, tgt in enumerate(tgts) if tgt.mode in TENDER}
-        base = [len(old[x]) * memory - quota[tgt] for x, tgt in enumerate(tgts)]
-        loads = [sum(amounts[p] for p in old[x]) - quota[tgt] for x, tgt in enumerate(tgts)]
+        base = [len(held) * memory - quota[tgt] for held, tgt in zip(old, tgts)]
+        loads = [gap[tgt] for tgt in tgts]
         start = Partition(old, base, loads, amounts, memory, tender)
-        recount = any(len(unit.mains()) != unit.copies for unit in units)
+        recount = any(len(unit.want) != unit.copies for unit in units)
         idle = any(not old[x] for x in tender)
         if start.worst() <= self.dev + BAND and not recount and not idle:
             return
@@ -467,10 +457,9 @@
         self.dev = best[0][0]
         self.log(f"run: gap {start.worst():.0f}, dev {self.dev:.0f}, {best[0][1]} placements")
         for p, unit in enumerate(units):
-            mains = [tgt for tgt in tgts if p in best[1][place[tgt]]]
-            if mains and set(mains) != set(unit.mains()):
-                unit.want = dict.fromkeys(mains, 1.0) | {
-                    tgt: SPARE for tgt, weight in unit.want.items() if weight < 1 and tgt not in mains}
+            mains = [tgt for tgt, held in zip(tgts, best[1]) if p in held]
+            if mains and set(mains) != set(unit.want):
+                unit.want = dict.fromkeys(mains, 1.0)
 
     def count(self, unit, demand, mean, most):
         """The copies rule: one more above beta of the mean, one less after some runs under half of that."""
@@ -514,27 +503,6 @@
                 part.put(unit, goal, 1)
         return True
 
-    def spares(self):
-        """A slice's second line of hardly any weight gives proxies somewhere to go before the pilot knows."""
-        bare = [unit for unit in self.ours() if len(unit.want) == 1]
-        if not bare:
-            return
-        quota = self.quotas()
-        sure = [tgt for tgt in quota if tgt.mode == "fit"]
-        gap, amounts = self.gaps(quota, self.ours())
-        for unit in self.ours():
-            for tgt, weight in unit.want.items():
-                if weight < 1 and tgt in gap:
-                    gap[tgt] += amounts[unit]
-        for unit in bare:
-            main = next(iter(unit.want))
-            others = [tgt for tgt in sure if tgt is not main]
-            apart = [tgt for tgt in others if tgt.server.zone != main.server.zone] or others
-            if apart:
-                best = min(apart, key=gap.get)
-                unit.want[best] = SPARE
-                gap[best] += amounts[unit]
-
     # The channel.
 
     def send(self):
@@ -576,7 +544,7 @@
         """A slice's level in steps, since each costs a line at each proxy."""
         if self.settings.admits_by != "share":
             return 1.0
-        return round(min((tgt.level for tgt in unit.mains()), default=1.0), 1)
+        return round(min((tgt.level for tgt in unit.want), default=1.0), 1)
 
     def changed(self, unit):
         # An ordinary change that waits may still name a server that has begun to drain.
