Levels fall by the part unanswered, wait for the sums, and rise faster

Cause: a level cut each second on a window of three seconds answered the same evidence three times. Tried waits of 1, 2 and 3 s and rises of 0.05 and 0.1. Quotas now sum to 100 a server and load above a tender server's quota counts threefold, since a search that mends only the widest gap left cold servers loaded.

--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -31,7 +31,8 @@
 TRIAL = 4 * SECOND  # how long a trial must look sound
 HARD_SHARE = 0.1  # part unanswered, and
 HARD_LATENCY = 0.6  # part of the latency objective, above which a server counts as strained
-LEVEL_DOWN, LEVEL_UP, LEVEL_LEAST = 0.85, 0.05, 0.2  # a second; how levels fall and come back
+LEVEL_DOWN, LEVEL_UP, LEVEL_LEAST = 0.85, 0.1, 0.2  # a second; how levels fall and come back
+HOLD = 2 * SECOND  # between two falls of a level, so that the sums can show the first
 CHANNEL = 0.45  # part of the channel's limit that ordinary orders may fill
 URGENT = 0.9  # and urgent ones
 
@@ -84,12 +85,12 @@
 class Target:
     """What the pilot holds of a server."""
 
-    __slots__ = ("server", "mode", "weight", "started", "heard", "until", "strikes", "ease", "level")
+    __slots__ = ("server", "mode", "weight", "started", "heard", "until", "strikes", "ease", "level", "hold")
 
     def __init__(self, server):
         self.server, self.mode, self.weight, self.started = server, "unknown", 1.0, 0
         self.heard = Ring(JUDGED + 2, 4)  # tries, unanswered, succeeded, their latency in all
-        self.until = self.strikes = 0
+        self.until = self.strikes = self.hold = 0
         self.ease = 1.0  # part of the quota that it is found to bear
         self.level = 1.0  # part of the cheapest operation that it is found to bear
 
@@ -152,8 +153,8 @@
         return found
 
     def worst(self):
-        """The widest gap; a target that warms up may lie below its quota once it holds a slice."""
-        return max(max(w, a) if x in self.tender and self.holds[x] else max(abs(w), abs(a))
+        """The widest gap; a target that warms up may lie below its quota, but above it counts threefold."""
+        return max(max(w, 3 * a) if x in self.tender and self.holds[x] else max(abs(w), abs(a))
                    for x, (w, a) in enumerate(zip(self.memory, self.demand)))
 
 
@@ -300,13 +301,14 @@
         return cold + (1 - cold) * max(age, 0) / self.settings.warm_up
 
     def quotas(self):
-        """100 times listed weight over mean weight, less where a server warms up or is found to bear less."""
+        """Hundredths of a mean server by listed weight; less where it warms up or is found to bear less."""
         open_ = [tgt for tgt in self.targets.values() if tgt.mode not in CLOSED and tgt.mode != "unknown"]
-        mean = sum(tgt.weight for tgt in open_) / len(open_) if open_ else 1.0
         # Retries and overload press on a cold server too: it takes less as tries outnumber answers.
         bears = {tgt: self.settings.cold_share if tgt.mode == "trial" else self.warmth(tgt) for tgt in open_}
-        part = {tgt: bear / self.pressure if bear < 1 else 1 for tgt, bear in bears.items()}
-        return {tgt: 100 * tgt.weight / mean * tgt.ease * part[tgt] for tgt in open_}
+        raw = {tgt: tgt.weight * tgt.ease * (bear if bear == 1 else bear / self.pressure)
+               for tgt, bear in bears.items()}
+        scale = 100 * len(raw) / max(sum(raw.values()), 1e-9)
+        return {tgt: part * scale for tgt, part in raw.items()}
 
     def demand(self, unit):
         """Invocations a second over the smoothing time, or over what is known of it."""
@@ -414,7 +416,9 @@
         """Late and unanswered work is lost: a strained server is sent less of the cheapest operation."""
         objective = self.ops[0].objective
         if share > HARD_SHARE or latency > HARD_LATENCY * objective:
-            tgt.level = max(LEVEL_LEAST, tgt.level * LEVEL_DOWN)
+            if self.now >= tgt.hold:
+                tgt.level = max(LEVEL_LEAST, tgt.level * min(LEVEL_DOWN, 1 - share))
+                tgt.hold = self.now + HOLD
         elif share < HARD_SHARE / 2 and latency < HARD_LATENCY * objective * 2 / 3:
             tgt.level = min(1.0, tgt.level + LEVEL_UP)
 
