Cold servers under strain shed all but one slice; first run after 4 s

Evacuated slices now go to a tender server only within its quota; a strained one keeps its least slice and its level falls at once. Candidates look past pairs without a swap, the deviation steps by 15, the first run comes at 4 s.

--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -15,17 +15,20 @@
 
 BEAT = SECOND // 4  # how often the pilot looks up
 RUN_EVERY = 10 * SECOND  # between runs of the repartitioning on an ordinary path
+RUN_FIRST = 4 * SECOND  # before the first run: the map of the start may fit badly
 RUN_SOON = 2 * SECOND  # between runs while a server warms up or is on trial
 SMOOTHING = 10  # seconds of demand that a slice's figure covers
 BETA = 0.7  # a slice gains a copy above this part of the mean demand of a server
 LOW_RUNS = 3  # runs for which a copy must have been too many before it goes
-DEV = 5.0  # step of the permitted deviation, in hundredths of a mean server's quota
+DEV = 15.0  # step of the permitted deviation, in hundredths of a mean server's quota
 BAND = 10.0  # a run is skipped within the last deviation plus this
 SOLUTIONS = 30  # candidates a run
 ATTEMPTS = 20  # moves or swaps a candidate
+TRIES = 8  # pairs looked at for one of them
 JUDGED = 3  # seconds of sums on which a server is judged
 ENOUGH = 8  # tries without which nobody is judged
 DEAD = 0.95  # part unanswered from which a server counts as failing
+TOO_MUCH = 0.4  # part unanswered from which a cold server sheds all but its least slice
 OUT_MOST = 0.25  # part of the fleet that may be out on our own judgement
 OUT_FOR = 8 * SECOND  # first time out; doubles with each failed trial
 TRIAL = 4 * SECOND  # how long a trial must look sound
@@ -44,6 +47,7 @@
     ("unknown", "ready"): ("fit", None),
     ("leaving", "ready"): ("fit", None),
     ("cold", "warm"): ("fit", None),
+    ("cold", "strained"): ("cold", "relieve"),
     ("fit", "failing"): ("out", "strike"),
     ("cold", "failing"): ("out", "strike"),
     ("trial", "failing"): ("out", "strike"),
@@ -176,7 +180,7 @@
     def handle(self, now, events):
         self.now, self.orders = now, []
         if not self.wake_at:
-            self.run_at = now + RUN_EVERY
+            self.run_at = now + RUN_FIRST
             if self.settings.asks_roster:
                 self.orders.append(face.Observe(True))
         for event in events:
@@ -356,9 +360,9 @@
                 amounts, gap = self.loads(self.quotas())
             if not gap:
                 continue
-            best = min(gap, key=lambda tgt: (tgt.mode in TENDER, gap[tgt]))
-            if best.mode not in TENDER and gap[best] > 0:  # the warm ones are full: let the others help
-                best = min(gap, key=gap.get)
+            # A tender server takes a slice only within its quota: a hot one would push it over.
+            able = [tgt for tgt in gap if tgt.mode not in TENDER or gap[tgt] + amounts[unit] <= 0]
+            best = min(able or gap, key=gap.get)
             unit.want[best] = 1.0
             gap[best] += amounts[unit]
             unit.copies, unit.urgent = 1, True
@@ -409,6 +413,9 @@
             if share >= DEAD and middle < 0.4 and out + 1 <= OUT_MOST * len(self.quotas()):
                 out += 1
                 self.step(tgt, "failing", f"{share:.2f} unanswered, peers {middle:.2f}")
+            elif share > TOO_MUCH:
+                # A slice grew hot here, or a storm hides its growth: shed before the server falls over.
+                self.step(tgt, "strained")
             elif tgt.mode == "trial" and self.now >= tgt.until and share < max(0.3, 2 * middle):
                 self.step(tgt, "sound", f"{share:.2f} unanswered, peers {middle:.2f}")
 
@@ -416,7 +423,9 @@
         """Late and unanswered work is lost: a strained server is sent less of the cheapest operation."""
         objective = self.ops[0].objective
         if share > HARD_SHARE or latency > HARD_LATENCY * objective:
-            if self.now >= tgt.hold:
+            if tgt.mode in TENDER:
+                tgt.level = LEVEL_LEAST
+            elif self.now >= tgt.hold:
                 tgt.level = max(LEVEL_LEAST, tgt.level * min(LEVEL_DOWN, 1 - share))
                 tgt.hold = self.now + HOLD
         elif share < HARD_SHARE / 2 and latency < HARD_LATENCY * objective * 2 / 3:
@@ -495,9 +504,12 @@
         size = len(part.holds)
         pairs = [(part.deviation(x, y), x, y) for x in range(size) for y in range(x + 1, size)]
         widest = tenth < 4 or (tenth >= 7 and self.draw() > 0.9)
-        _, x, y = max(pairs) if widest else self.pick(pairs)
-        swaps = part.swaps(x, y)
-        if not swaps:
+        for turn in range(min(TRIES, len(pairs))):  # a tender server is soon full, and its pairs have no swap
+            _, x, y = pairs[turn] if widest else self.pick(pairs)
+            swaps = part.swaps(x, y)
+            if swaps:
+                break
+        else:
             return False
         best = tenth < 1 or 4 <= tenth < 7 or (tenth >= 7 and self.draw() > 0.9)
         _, p, q = max(swaps, key=lambda row: row[0]) if best else self.pick(swaps)
