--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -16,7 +16,7 @@
 BEAT = SECOND // 4  # how often the pilot looks up
 RUN_EVERY = 10 * SECOND  # between runs of the repartitioning on an ordinary path
 RUN_FIRST = 4 * SECOND  # before the first run: the map of the start may fit badly
-RUN_SOON = 2 * SECOND  # between runs while a server warms up or is on trial
+RUN_SOON = 1 * SECOND  # between runs while a server warms up or is on trial
 SMOOTHING = 10  # seconds of demand that a slice's figure covers
 BETA = 0.7  # a slice gains a copy above this part of the mean demand of a server
 LOW_RUNS = 3  # runs for which a copy must have been too many before it goes
@@ -28,7 +28,7 @@
 JUDGED = 3  # seconds of sums on which a server is judged
 ENOUGH = 8  # tries without which nobody is judged
 DEAD = 0.95  # part unanswered from which a server counts as failing
-TOO_MUCH = 0.4  # part unanswered from which a cold server sheds all but its least slice
+GUARD = 2.0  # times its quota that may come to a cold server
 OUT_MOST = 0.25  # part of the fleet that may be out on our own judgement
 OUT_FOR = 8 * SECOND  # first time out; doubles with each failed trial
 TRIAL = 4 * SECOND  # how long a trial must look sound
@@ -63,12 +63,10 @@
 
     >>> ring = Ring(4, 2)
     >>> for second in range(6): ring.add(second * SECOND, second, 1)
-    >>> ring.total(5 * SECOND, 2), ring.total(5 * SECOND, 4), ring.total(9 * SECOND, 4)
-    ([9, 2], [14, 4], [0, 0])
+    >>> ring.total(5 * SECOND, 2), ring.total(9 * SECOND, 4)
+    ([9, 2], [0, 0])
     """
 
-    __slots__ = ("stamps", "sums")
-
     def __init__(self, size, width):
         self.stamps = [-1] * size
         self.sums = [[0] * width for _ in range(size)]
@@ -89,24 +87,20 @@
 class Target:
     """What the pilot holds of a server."""
 
-    __slots__ = ("server", "mode", "weight", "started", "heard", "until", "strikes", "ease", "level", "hold")
-
     def __init__(self, server):
         self.server, self.mode, self.weight, self.started = server, "unknown", 1.0, 0
         self.heard = Ring(JUDGED + 2, 4)  # tries, unanswered, succeeded, their latency in all
         self.until = self.strikes = self.hold = 0
-        self.ease = 1.0  # part of the quota that it is found to bear
+        self.gained = False  # a slice since the last run
         self.level = 1.0  # part of the cheapest operation that it is found to bear
 
 
 class Unit:
     """What the pilot holds of a slice: what its table shall be and what has been ordered of it."""
 
-    __slots__ = ("slice", "ours", "since", "came", "copies", "low", "want", "have", "level", "urgent")
-
     def __init__(self, piece):
         self.slice, self.ours, self.since = piece, False, 0
-        self.came = Ring(SMOOTHING, 1)
+        self.came = Ring(SMOOTHING, 2)  # invocations, storms left out; all that came
         self.copies, self.low, self.level, self.urgent = 1, 0, 1.0, False
         self.want, self.have = {}, {}
 
@@ -234,24 +228,20 @@
     def on_roster(self, event):
         if event.how == "failed":
             return self.orders.append(face.Observe(True))
-        listed = {}
-        for entry in event.entries:
-            tgt = self.target(entry.server)
-            listed[tgt] = True
+        listed = [self.target(entry.server) for entry in event.entries]
+        for tgt, entry in zip(listed, event.entries):
             tgt.weight = max(entry.weight, 1e-6)
             fresh, tgt.started = entry.started > tgt.started, max(entry.started, tgt.started)
             if entry.state != "ready":
                 self.step(tgt, "leave", entry.state)
             elif fresh and self.warmth(tgt) < 1:
                 # A crash shorter than the list's delay brings a server back cold with its whole old load.
-                tgt.ease = 1.0
                 self.step(tgt, "started", f"{(self.now - tgt.started) / 1e9:.1f}s ago")
             elif tgt.mode in ("unknown", "leaving"):
                 self.step(tgt, "ready")
-        if event.how != "delta":
-            for tgt in self.targets.values():
-                if tgt not in listed and tgt.mode != "unknown":
-                    self.step(tgt, "leave", "gone from the list")
+        for tgt in self.targets.values():
+            if event.how != "delta" and tgt not in listed:
+                self.step(tgt, "leave", "gone from the list")
 
     def on_joined(self, event):
         self.joined[event.proxy] = deque()
@@ -273,9 +263,8 @@
 
     def on_heard(self, event):
         self.sums_at = self.now
-        good = event.tries - event.unanswered
-        tgt = self.target(event.server)
-        tgt.heard.add(self.now, event.tries, event.unanswered, good, good * event.latency)
+        good, heard = event.tries - event.unanswered, self.target(event.server).heard
+        heard.add(self.now, event.tries, event.unanswered, good, good * event.latency)
 
     def on_demand(self, event):
         self.sums_at = self.now
@@ -285,7 +274,7 @@
         if event.unanswered > 0.2 * tries:
             # A retry storm in these sums must not read as demand that calls for copies.
             tries = min(tries, self.demand(unit) * event.span / SECOND)
-        unit.came.add(self.now, tries)
+        unit.came.add(self.now, tries, event.tries)
 
     def on_applied(self, event):
         waiting = self.joined.get(event.proxy, ())
@@ -299,17 +288,16 @@
 
     def warmth(self, tgt):
         """The part of its capacity that a server surely has: evenly from the cold share to all of it."""
-        cold, age = self.settings.cold_share, self.now - tgt.started
-        if not tgt.started or age >= self.settings.warm_up:
-            return 1.0
-        return cold + (1 - cold) * max(age, 0) / self.settings.warm_up
+        age = self.now - tgt.started if tgt.started else self.settings.warm_up
+        grown = min(1.0, max(0, age) / max(1, self.settings.warm_up)) if self.settings.warm_up else 1.0
+        return self.settings.cold_share + (1 - self.settings.cold_share) * grown
 
     def quotas(self):
-        """Hundredths of a mean server by listed weight; less where it warms up or is found to bear less."""
+        """Hundredths of a mean server by listed weight; less where it warms up or is on trial."""
         open_ = [tgt for tgt in self.targets.values() if tgt.mode not in CLOSED and tgt.mode != "unknown"]
         # Retries and overload press on a cold server too: it takes less as tries outnumber answers.
         bears = {tgt: self.settings.cold_share if tgt.mode == "trial" else self.warmth(tgt) for tgt in open_}
-        raw = {tgt: tgt.weight * tgt.ease * (bear if bear == 1 else bear / self.pressure)
+        raw = {tgt: tgt.weight * (bear if bear == 1 else bear / self.pressure)
                for tgt, bear in bears.items()}
         scale = 100 * len(raw) / max(sum(raw.values()), 1e-9)
         return {tgt: part * scale for tgt, part in raw.items()}
@@ -323,10 +311,8 @@
         return [unit for unit in self.units.values() if unit.ours and unit is not self.whole]
 
     def loads(self, quota):
-        """Demand by unit, and load by target less its quota, both in hundredths of a mean server.
-
-        What other pilots' slices bring is background, taken to be in proportion to quota.
-        """
+        """Demand by unit, and load less quota by target, in hundredths of a mean server; other pilots'
+        slices are background in proportion to quota."""
         units, total = self.ours(), sum(quota.values())
         share = len(units) / max(1, len(self.units))
         scale = total * share / max(sum(self.demand(unit) for unit in units), 1e-9)
@@ -343,26 +329,25 @@
     def relieve(self, tgt):
         """A just-started server keeps its least slice at the most: its old load would push it over."""
         units = sorted((unit for unit in self.ours() if tgt in unit.want), key=self.demand)
+        tgt.gained = True
         for unit in units[1:]:
             del unit.want[tgt]
             unit.urgent = True
 
     def evacuate(self):
         """Slices leave dead, draining and condemned servers at once; no table stays empty if it can be."""
-        gap = None
         for unit in self.ours():
             for tgt in [tgt for tgt in unit.want if tgt.mode in CLOSED]:
                 del unit.want[tgt]
                 unit.urgent = True
-            if unit.want:
-                continue
-            if gap is None:
-                amounts, gap = self.loads(self.quotas())
-            if not gap:
-                continue
-            # A tender server takes a slice only within its quota: a hot one would push it over.
-            able = [tgt for tgt in gap if tgt.mode not in TENDER or gap[tgt] + amounts[unit] <= 0]
+        bare = [unit for unit in self.ours() if not unit.want]
+        amounts, gap = self.loads(self.quotas()) if bare else ({}, {})
+        for unit in bare if gap else ():
+            # Many slices, or a hot one, would push a cold server over: one a run, and within its quota.
+            able = [tgt for tgt in gap
+                    if tgt.mode not in TENDER or not tgt.gained and gap[tgt] + amounts[unit] <= 0]
             best = min(able or gap, key=gap.get)
+            best.gained = True
             unit.want[best] = 1.0
             gap[best] += amounts[unit]
             unit.copies, unit.urgent = 1, True
@@ -378,6 +363,7 @@
         if self.now >= self.judge_at:
             self.judge_at = self.now + SECOND
             self.judge()
+            self.guard()
         if self.whole:
             return self.spread()
         if self.now >= self.run_at and not self.freeze():
@@ -387,9 +373,8 @@
 
     def freeze(self):
         """Cut off or blind, the pilot holds still rather than chase the little that it sees."""
-        few = len(self.joined) * 2 < self.most_joined
         blind = self.now - self.sums_at > 3 * self.settings.period + 3 * SECOND
-        why = "few proxies" if few else "no sums" if blind else ""
+        why = "few proxies" if len(self.joined) * 2 < self.most_joined else "no sums" if blind else ""
         if why != self.frozen:
             self.log(f"freeze: {why or 'over'}: {len(self.joined)} of {self.most_joined} joined")
         self.frozen = why
@@ -402,30 +387,32 @@
             tries, unanswered, good, latency = tgt.heard.total(self.now, JUDGED)
             tried, answered = tried + tries, answered + good
             if tries >= ENOUGH and tgt.mode not in CLOSED:
-                seen[tgt] = unanswered / tries, latency / good if good else math.inf
-                self.relent(tgt, *seen[tgt])
-        if not seen:
-            return
-        self.pressure = tried / max(answered, 0.2 * tried)
-        middle = sorted(share for share, _ in seen.values())[len(seen) // 2]
-        out = sum(tgt.mode == "out" for tgt in self.targets.values())
-        for tgt, (share, _) in seen.items():
-            if share >= DEAD and middle < 0.4 and out + 1 <= OUT_MOST * len(self.quotas()):
-                out += 1
+                seen[tgt] = unanswered / tries
+                self.relent(tgt, seen[tgt], latency / good if good else math.inf)
+        self.pressure = max(1.0, tried / max(answered, 0.2 * tried, 1))
+        middle = sorted([*seen.values(), 0.0])[(len(seen) + 1) // 2]
+        for tgt, share in seen.items():
+            out = sum(other.mode == "out" for other in self.targets.values())
+            if share >= DEAD and middle < 0.4 and out + 1 <= OUT_MOST * len(self.targets):
                 self.step(tgt, "failing", f"{share:.2f} unanswered, peers {middle:.2f}")
-            elif share > TOO_MUCH:
-                # A slice grew hot here, or a storm hides its growth: shed before the server falls over.
-                self.step(tgt, "strained")
             elif tgt.mode == "trial" and self.now >= tgt.until and share < max(0.3, 2 * middle):
                 self.step(tgt, "sound", f"{share:.2f} unanswered, peers {middle:.2f}")
 
+    def guard(self):
+        """A slice may grow hot at a cold server before its smoothed demand tells, or a storm may hide it."""
+        quota, units = self.quotas(), self.ours()
+        scale = sum(quota.values()) / max(sum(self.demand(unit) for unit in units), 1e-9)
+        for tgt in [tgt for tgt in quota if tgt.mode == "cold"]:
+            held = [unit for unit in units if tgt in unit.want]
+            came = sum(unit.came.total(self.now, 2)[1] / 2 / len(unit.want) for unit in held)
+            if came * scale > GUARD * quota[tgt]:
+                self.step(tgt, "strained")
+
     def relent(self, tgt, share, latency):
         """Late and unanswered work is lost: a strained server is sent less of the cheapest operation."""
         objective = self.ops[0].objective
         if share > HARD_SHARE or latency > HARD_LATENCY * objective:
-            if tgt.mode in TENDER:
-                tgt.level = LEVEL_LEAST
-            elif self.now >= tgt.hold:
+            if self.now >= tgt.hold or tgt.mode in TENDER:
                 tgt.level = max(LEVEL_LEAST, tgt.level * min(LEVEL_DOWN, 1 - share))
                 tgt.hold = self.now + HOLD
         elif share < HARD_SHARE / 2 and latency < HARD_LATENCY * objective * 2 / 3:
@@ -440,26 +427,26 @@
 
     def run(self):
         units, quota = self.ours(), self.quotas()
+        for tgt in quota:
+            tgt.gained = False
         demand, gap = self.loads(quota)
         if len(quota) < 2 or not sum(demand.values()):
             return
         tgts, mean = list(quota), sum(quota.values()) / len(quota)
         for unit in units:
-            self.count(unit, demand[unit], mean, len(tgts))
+            self.count(unit, demand[unit], mean, 1 if self.settings.exclusive else len(tgts))
         amounts = [demand[unit] / unit.copies for unit in units]
         memory = mean * len(tgts) / sum(unit.copies for unit in units)
         old = [{p for p, unit in enumerate(units) if tgt in unit.want} for tgt in tgts]
         tender = {x for x, tgt in enumerate(tgts) if tgt.mode in TENDER}
-        base = [len(held) * memory - quota[tgt] for held, tgt in zip(old, tgts)]
-        loads = [gap[tgt] for tgt in tgts]
-        start = Partition(old, base, loads, amounts, memory, tender)
-        recount = any(len(unit.want) != unit.copies for unit in units)
-        idle = any(not old[x] for x in tender)
-        if start.worst() <= self.dev + BAND and not recount and not idle:
+        gaps = [len(held) * memory - quota[tgt] for held, tgt in zip(old, tgts)], [gap[tgt] for tgt in tgts]
+        start = Partition(old, *gaps, amounts, memory, tender)
+        settled = all(len(unit.want) == unit.copies for unit in units) and all(old[x] for x in tender)
+        if settled and start.worst() <= self.dev + BAND:
             return
         best = None  # a candidate that fits a smaller deviation wins, then one with fewer changed placements
         for i in range(SOLUTIONS):
-            part = Partition(old, base, loads, amounts, memory, tender)
+            part = Partition(old, *gaps, amounts, memory, tender)
             self.recount(part, units)
             for _ in range(ATTEMPTS + 1):
                 key = (max(1, math.ceil(part.worst() / DEV)) * DEV, part.distance)
@@ -476,13 +463,10 @@
 
     def count(self, unit, demand, mean, most):
         """The copies rule: one more above beta of the mean, one less after some runs under half of that."""
-        if self.settings.exclusive:
-            return
         while unit.copies < most and demand / unit.copies > BETA * mean:
             unit.copies += 1
             unit.low = 0
-        spare = unit.copies > 1 and demand / (unit.copies - 1) < BETA * mean / 2
-        unit.low = unit.low + 1 if spare else 0
+        unit.low = unit.low + 1 if unit.copies > 1 and demand / (unit.copies - 1) < BETA * mean / 2 else 0
         if unit.low >= LOW_RUNS:
             unit.copies, unit.low = unit.copies - 1, 0
 
@@ -530,14 +514,12 @@
         most = limits.messages_most or math.inf
         calm = self.now >= self.ordinary_at and len(self.sent) < most / 2
         cost, lines = proxies * (limits.message_head + 1), []
-        if len(self.sent) + 1 >= most:
-            return
-        changed = [unit for unit in self.units.values() if self.changed(unit)]
+        changed = filter(self.changed, self.units.values()) if len(self.sent) + 1 < most else ()
         for unit in sorted(changed, key=lambda unit: not unit.urgent):
             room = (URGENT if unit.urgent else CHANNEL) * limits.channel_limit - waiting
-            delta = [face.SetLine(unit.slice, tgt.server, 0) for tgt in unit.have if tgt not in unit.want]
-            if limits.exclusive and unit.want:
-                delta = []  # the new line takes the place of the old
+            replaced = limits.exclusive and unit.want
+            gone = [tgt for tgt in unit.have if tgt not in unit.want and not replaced]
+            delta = [face.SetLine(unit.slice, tgt.server, 0) for tgt in gone]
             delta += [face.SetLine(unit.slice, tgt.server, weight) for tgt, weight in unit.want.items()
                       if unit.have.get(tgt) != weight]
             level = self.let_in(unit)
@@ -558,9 +540,8 @@
 
     def let_in(self, unit):
         """A slice's level in steps, since each costs a line at each proxy."""
-        if self.settings.admits_by != "share":
-            return 1.0
-        return round(min((tgt.level for tgt in unit.want), default=1.0), 1)
+        levels = [tgt.level for tgt in unit.want] if self.settings.admits_by == "share" else []
+        return round(min(levels, default=1.0), 1)
 
     def changed(self, unit):
         # An ordinary change that waits may still name a server that has begun to drain.
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -70,6 +70,41 @@
     assert len(fleet.holds(fleet.servers[1])) <= 2
 
 
+def test_a_just_started_server_is_not_given_many_slices_at_once():
+    """Slices of another server that leaves in the same batch went to the cold one, which fell over."""
+    fleet = Fleet(servers=4, slices=40)
+    fleet.run(5)
+    fleet.say(fleet.roster(s1="gone"))
+    fleet.say(fleet.roster(s1=("ready", fleet.now), s2="gone"))
+    assert len(fleet.holds(fleet.servers[1])) <= 1 and not fleet.holds(fleet.servers[2])
+
+
+def test_a_slice_that_grows_hot_at_a_cold_server_is_guarded():
+    """Smoothed demand tells too late, and most of its invocations go unanswered."""
+    fleet = Fleet(servers=4, slices=24)
+    fleet.run(5)
+    fleet.say(fleet.roster(s1=("ready", fleet.now)))
+    fleet.run(8)
+    cold = fleet.servers[1]
+    assert len(fleet.holds(cold)) > 1
+    for _ in range(2):
+        fleet.now += SECOND
+        hot = [face.Demand(piece, None, fleet.ops[0], 60, 55, SECOND) for piece in fleet.holds(cold)]
+        fleet.say(*hot, face.Woke(0))
+    assert len(fleet.holds(cold)) == 1
+
+
+def test_a_strained_server_is_let_in_less_of_the_cheapest_operation():
+    fleet = Fleet(servers=4, slices=24)
+    fleet.run(5)
+    fleet.failing = dict.fromkeys(fleet.servers, 0.5)
+    fleet.run(8)
+    assert fleet.levels and all(op is fleet.ops[0] and level < 0.6 for (_, op), level in fleet.levels.items())
+    fleet.failing = {}
+    fleet.run(20)
+    assert all(level == 1 for level in fleet.levels.values())
+
+
 @pytest.mark.parametrize("failing, condemned", [
     ({1: 1.0}, [1]), ({1: 0.1}, []), ({0: 0.3, 1: 0.3, 2: 0.3, 3: 0.3}, []),
     (dict.fromkeys(range(4), 1.0), []),
