--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -29,11 +29,10 @@
 ENOUGH = 8  # tries without which nobody is judged
 DEAD = 0.95  # part unanswered from which a server counts as failing
 GUARD = 2.0  # times its quota that may come to a cold server
-OUT_MOST = 0.25  # part of the fleet that may be out on our own judgement
+OUT_MOST = 0.25  # of the warm servers, how many may be out on our own judgement
 OUT_FOR = 8 * SECOND  # first time out; doubles with each failed trial
 TRIAL = 4 * SECOND  # how long a trial must look sound
-HARD_SHARE = 0.1  # part unanswered, and
-HARD_LATENCY = 0.6  # part of the latency objective, above which a server counts as strained
+HARD_SHARE, HARD_LATENCY = 0.1, 0.6  # parts unanswered, and of the latency objective, that strain a server
 LEVEL_DOWN, LEVEL_UP, LEVEL_LEAST = 0.85, 0.1, 0.2  # a second; how levels fall and come back
 HOLD = 2 * SECOND  # between two falls of a level, so that the sums can show the first
 CHANNEL = 0.45  # part of the channel's limit that ordinary orders may fill
@@ -381,7 +380,7 @@
         return why
 
     def judge(self):
-        """Judged against peers in the same time, so that a general overload condemns nobody."""
+        """Against peers of the same time, and never the last warm ones: their slices would fell the cold."""
         seen, tried, answered = {}, 0, 0
         for tgt in self.targets.values():
             tries, unanswered, good, latency = tgt.heard.total(self.now, JUDGED)
@@ -392,8 +391,9 @@
         self.pressure = max(1.0, tried / max(answered, 0.2 * tried, 1))
         middle = sorted([*seen.values(), 0.0])[(len(seen) + 1) // 2]
         for tgt, share in seen.items():
-            out = sum(other.mode == "out" for other in self.targets.values())
-            if share >= DEAD and middle < 0.4 and out + 1 <= OUT_MOST * len(self.targets):
+            modes = [other.mode for other in self.targets.values()]
+            room = tgt.mode == "trial" or modes.count("out") + 1 <= OUT_MOST * modes.count("fit")
+            if share >= DEAD and middle < 0.4 and room:
                 self.step(tgt, "failing", f"{share:.2f} unanswered, peers {middle:.2f}")
             elif tgt.mode == "trial" and self.now >= tgt.until and share < max(0.3, 2 * middle):
                 self.step(tgt, "sound", f"{share:.2f} unanswered, peers {middle:.2f}")
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -121,6 +121,16 @@
     assert all(not fleet.holds(fleet.servers[n]) for n in condemned)
 
 
+def test_the_last_warm_servers_of_a_release_are_not_condemned():
+    """Crowded with all slices they answered nothing; taken out, the cold ones got everything and fell."""
+    fleet = Fleet(servers=6, slices=24)
+    fleet.run(5)
+    fleet.say(fleet.roster(**{f"s{n}": ("ready", fleet.now) for n in range(2, 6)}))
+    fleet.failing = dict.fromkeys(fleet.servers[:1], 1.0)
+    fleet.run(6)
+    assert fleet.pilot.target(fleet.servers[0]).mode == "fit"
+
+
 def test_a_flapping_server_stays_out_longer_each_time():
     fleet = Fleet(slices=24)
     fleet.run(5)
