--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -88,7 +88,7 @@
 
     def __init__(self, server):
         self.server, self.mode, self.weight, self.started = server, "unknown", 1.0, 0
-        self.heard = Ring(JUDGED + 2, 4)  # tries, unanswered, succeeded, their latency in all
+        self.heard = Ring(JUDGED + 2, 3)  # tries, unanswered, latency of all that succeeded
         self.until = self.strikes = self.hold = 0
         self.gained = False  # a slice since the last run
         self.level = 1.0  # part of the cheapest operation that it is found to bear
@@ -261,8 +261,8 @@
 
     def on_heard(self, event):
         self.sums_at = self.now
-        good, heard = event.tries - event.unanswered, self.target(event.server).heard
-        heard.add(self.now, event.tries, event.unanswered, good, good * event.latency)
+        latency = (event.tries - event.unanswered) * event.latency
+        self.target(event.server).heard.add(self.now, event.tries, event.unanswered, latency)
 
     def on_demand(self, event):
         self.sums_at = self.now
@@ -313,8 +313,9 @@
         slices are background in proportion to quota."""
         units, total = self.ours(), sum(quota.values())
         share = len(units) / max(1, len(self.units))
-        scale = total * share / max(sum(self.demand(unit) for unit in units), 1e-9)
-        amounts = {unit: self.demand(unit) * scale for unit in units}
+        demand = {unit: self.demand(unit) for unit in units}
+        scale = total * share / max(sum(demand.values()), 1e-9)
+        amounts = {unit: rate * scale for unit, rate in demand.items()}
         gap = {tgt: -part * share for tgt, part in quota.items()}
         for unit in units:
             for tgt in unit.want:
@@ -383,11 +384,11 @@
         """Against peers of the same time, and never the last warm ones: their slices would fell the cold."""
         seen, tried, answered = {}, 0, 0
         for tgt in self.targets.values():
-            tries, unanswered, good, latency = tgt.heard.total(self.now, JUDGED)
-            tried, answered = tried + tries, answered + good
+            tries, unanswered, latency = tgt.heard.total(self.now, JUDGED)
+            tried, answered = tried + tries, answered + tries - unanswered
             if tries >= ENOUGH and tgt.mode not in CLOSED:
-                seen[tgt] = unanswered / tries
-                self.relent(tgt, seen[tgt], latency / good if good else math.inf)
+                share = seen[tgt] = unanswered / tries
+                self.relent(tgt, share, latency / (tries - unanswered) if share < 1 else math.inf)
         self.pressure = max(1.0, tried / max(answered, 0.2 * tried, 1))
         middle = sorted([*seen.values(), 0.0])[(len(seen) + 1) // 2]
         for tgt, share in seen.items():
@@ -465,7 +466,6 @@
         """The copies rule: one more above beta of the mean, one less after some runs under half of that."""
         while unit.copies < most and demand / unit.copies > BETA * mean:
             unit.copies += 1
-            unit.low = 0
         unit.low = unit.low + 1 if unit.copies > 1 and demand / (unit.copies - 1) < BETA * mean / 2 else 0
         if unit.low >= LOW_RUNS:
             unit.copies, unit.low = unit.copies - 1, 0
