The search scales with the fleet; fewer moves; jams told from deaths

Change: the widest pairs come from the ends by sum and difference of the gaps, draws are weighted orders; short runs look only after load above the quotas; sums are booked over their span; levels fall on late answers alone; a quota falls where a server is worse off than the best quarter of its peers; late answers tell a jam from a death; a cold server takes what the fleet was proven to answer, by all that comes for a slice, and is emptied when it answers late; messages keep an even pace and ordinary changes ride along. The guard, the relief and the tries-per-answer pressure fold into these. Should also catch slow servers, wrong weights and proxies far from a server; may hurt when many servers are slow for their own reasons, since the quarter that fares best is the measure.

--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -14,27 +14,33 @@
 from flintreach.interface import SECOND
 
 BEAT = SECOND // 4  # how often the pilot looks up
-RUN_EVERY = 10 * SECOND  # between runs of the repartitioning on an ordinary path
+RUN_EVERY = 10 * SECOND  # between full runs of the repartitioning; short ones come each second
 RUN_FIRST = 4 * SECOND  # before the first run: the map of the start may fit badly
-RUN_SOON = 1 * SECOND  # between runs while a server warms up or is on trial
 SMOOTHING = 10  # seconds of demand that a slice's figure covers
+RECENT = 3  # seconds that show a jump
+TURN = 3 * SECOND  # sums of a large fleet come by turns: silence for so long is no lack of demand
 BETA = 0.7  # a slice gains a copy above this part of the mean demand of a server
 LOW_RUNS = 3  # runs for which a copy must have been too many before it goes
-DEV = 15.0  # step of the permitted deviation, in hundredths of a mean server's quota
+DEV, STEP = 30.0, 15.0  # the first permitted deviation and its steps, in hundredths of a mean server's quota
 BAND = 10.0  # a run is skipped within the last deviation plus this
-SOLUTIONS = 30  # candidates a run
-ATTEMPTS = 20  # moves or swaps a candidate
-TRIES = 8  # pairs looked at for one of them
-JUDGED = 3  # seconds of sums on which a server is judged
+MEMORY = 0.25  # what the memory of all slices counts against their demand
+FILL = 0.5  # part of its quota that a slice may bring above it to a server that warms up
+IDLE = 0.5  # what a gap below the quota counts against one above: an idle server harms nobody
+SOLUTIONS = 20  # candidates a run
+ATTEMPTS = 20  # moves or swaps a candidate, or as many as there are servers
+NEAR = 3  # servers at each end that are paired for the widest gaps
 ENOUGH = 8  # tries without which nobody is judged
-DEAD = 0.95  # part unanswered from which a server counts as failing
-GUARD = 2.0  # times its quota that may come to a cold server
-OUT_MOST = 0.25  # of the warm servers, how many may be out on our own judgement
+FADE = 0.9  # how what is known of its latency fades each second without answers
+DEAD = 0.7  # part unanswered from which a server counts as failing
+OUT_MOST = 0.25  # of the servers, how many may fail at once and still be taken out
 OUT_FOR = 8 * SECOND  # first time out; doubles with each failed trial
-TRIAL = 4 * SECOND  # how long a trial must look sound
-HARD_SHARE, HARD_LATENCY = 0.1, 0.6  # parts unanswered, and of the latency objective, that strain a server
-LEVEL_DOWN, LEVEL_UP, LEVEL_LEAST = 0.85, 0.1, 0.2  # a second; how levels fall and come back
-HOLD = 2 * SECOND  # between two falls of a level, so that the sums can show the first
+FORGET = 60 * SECOND  # after the last time out, until its strikes are forgotten
+HARD_SHARE, HARD_LATE = 0.3, 0.6  # parts unanswered, and of the latency objective, that strain a server
+CROWDED = 0.6  # strain from which a server may be worse off than its peers
+WORSE = 1.5  # times the strain of the best quarter of peers from which a server is crowded
+BEARS_DOWN, BEARS_UP, BEARS_LEAST = 0.8, 0.05, 0.5  # how a crowded server's quota falls and comes back
+LEVEL_DOWN, LEVEL_UP, LEVEL_LEAST = 0.6, 0.2, 0.2  # how levels fall at the most, and come back
+HOLD = 3 * SECOND  # between two falls of a quota or a level, so that the sums can show the first
 CHANNEL = 0.45  # part of the channel's limit that ordinary orders may fill
 URGENT = 0.9  # and urgent ones
 
@@ -50,36 +56,35 @@
     ("fit", "failing"): ("out", "strike"),
     ("cold", "failing"): ("out", "strike"),
     ("trial", "failing"): ("out", "strike"),
-    ("trial", "sound"): ("fit", "pardon"),
-    ("out", "due"): ("trial", "try"),
+    ("trial", "sound"): ("fit", None),
+    ("out", "due"): ("trial", None),
 }
-CLOSED = ("out", "leaving")
+CLOSED = ("unknown", "out", "leaving")
 TENDER = ("cold", "trial")
+NONE = -1  # in place of a slice, where a swap is a move; its demand stands last and is 0
 
 
 class Ring:
-    """Sums in buckets of one second that are used again.
-
-    >>> ring = Ring(4, 2)
-    >>> for second in range(6): ring.add(second * SECOND, second, 1)
-    >>> ring.total(5 * SECOND, 2), ring.total(9 * SECOND, 4)
-    ([9, 2], [0, 0])
-    """
+    """Sums in buckets of one second that are used again."""
 
     def __init__(self, size, width):
         self.stamps = [-1] * size
         self.sums = [[0] * width for _ in range(size)]
 
-    def add(self, now, *values):
-        turn = now // SECOND
-        at = turn % len(self.stamps)
-        if self.stamps[at] != turn:
-            self.stamps[at], self.sums[at] = turn, [0] * len(values)
-        self.sums[at] = [old + value for old, value in zip(self.sums[at], values)]
+    def add(self, now, span, *values):
+        """A line that covers some seconds is no burst: it is booked evenly into all of them."""
+        size, last = len(self.stamps), now // SECOND
+        turns = min(max(1, round(span / SECOND)), size)
+        for turn in range(last - turns + 1, last + 1):
+            if self.stamps[turn % size] != turn:
+                self.stamps[turn % size], self.sums[turn % size] = turn, [0] * len(values)
+            row = self.sums[turn % size]
+            for place, value in enumerate(values):
+                row[place] += value / turns
 
     def total(self, now, span):
-        oldest = now // SECOND - span
-        fresh = [sums for stamp, sums in zip(self.stamps, self.sums) if stamp > oldest]
+        last = now // SECOND
+        fresh = [sums for stamp, sums in zip(self.stamps, self.sums) if last - span < stamp <= last]
         return [sum(column) for column in zip([0] * len(self.sums[0]), *fresh)]
 
 
@@ -88,30 +93,33 @@
 
     def __init__(self, server):
         self.server, self.mode, self.weight, self.started = server, "unknown", 1.0, 0
-        self.heard = Ring(JUDGED + 2, 3)  # tries, unanswered, latency of all that succeeded
-        self.until = self.strikes = self.hold = 0
+        self.heard = Ring(RECENT + 2, 3)  # tries, unanswered, latency of all that succeeded
+        self.heard_at = self.until = self.strikes = self.hold = 0
         self.gained = False  # a slice since the last run
-        self.level = 1.0  # part of the cheapest operation that it is found to bear
+        self.late = 1.0  # mean latency when it was last known, in parts of what strains a server
+        self.bears = 1.0  # part of its listed weight that it is found to bear
+        self.level = 1.0  # part of the cheapest operation that it is let in
 
 
 class Unit:
     """What the pilot holds of a slice: what its table shall be and what has been ordered of it."""
 
     def __init__(self, piece):
-        self.slice, self.ours, self.since = piece, False, 0
-        self.came = Ring(SMOOTHING, 2)  # invocations, storms left out; all that came
-        self.copies, self.low, self.level, self.urgent = 1, 0, 1.0, False
+        self.slice, self.ours, self.since, self.told_at = piece, False, 0, 0
+        self.came = Ring(SMOOTHING + RECENT, 2)  # invocations, storms left out; all that came
+        self.rate = self.press = 0.0  # invocations a second: smoothed without storms; all, of late
+        self.copies, self.low, self.level = 1, 0, 1.0
         self.want, self.have = {}, {}
 
 
 class Partition:
     """A map of units to targets with the gaps between load and quota, kept as it changes."""
 
-    def __init__(self, old, memory, demand, amounts, unit, tender):
+    def __init__(self, old, memory, demand, amounts, unit, tender, gained):
         self.old, self.holds = old, [set(held) for held in old]
         self.memory, self.demand = memory[:], demand[:]  # gaps a target
         self.amounts, self.unit, self.tender = amounts, unit, tender
-        self.gained, self.distance = [0] * len(old), 0
+        self.gained, self.distance = gained[:], 0
 
     def put(self, p, x, sign):
         """Unit p comes to target x (sign 1) or leaves it (-1)."""
@@ -120,38 +128,45 @@
             self.distance += sign
             self.gained[x] += sign
         self.memory[x] += sign * self.unit
-        self.demand[x] += sign * self.amounts[p]
-
-    def load(self, x):
-        return self.memory[x] + self.demand[x]
+        self.demand[x] += sign * self.amounts[p][x in self.tender]
 
     def deviation(self, x, y):
         return abs(self.memory[x] - self.memory[y]) + abs(self.demand[x] - self.demand[y])
 
+    def pairs(self):
+        """Rows of (deviation, x, y): the ends by sum and by difference of the gaps hold the widest surely."""
+        found = set()
+        for sign in (1, -1):
+            order = sorted(range(len(self.old)), key=lambda x: self.memory[x] + sign * self.demand[x])
+            found.update((min(x, y), max(x, y)) for x in order[:NEAR] for y in order[-NEAR:])
+        return [(gap, x, y) for x, y in sorted(found) if (gap := self.deviation(x, y)) > 0]
+
     def welcome(self, p, y):
         """A target that warms up must not be pushed over: one slice a run, and only one that it can bear."""
         if y not in self.tender or p in self.old[y]:
             return True
-        return self.gained[y] < 1 and self.demand[y] + self.amounts[p] <= BAND
+        return self.gained[y] < 1 and self.demand[y] + self.amounts[p][True] <= FILL * self.tender[y]
 
     def swaps(self, x, y):
         """The valid moves and swaps between two targets that bring them closer: (benefit, p, q)."""
         memory, demand = self.memory[x] - self.memory[y], self.demand[x] - self.demand[y]
         before, found = abs(memory) + abs(demand), []
-        mine = [p for p in sorted(self.holds[x] - self.holds[y]) if self.welcome(p, y)] + [None]
-        theirs = [q for q in sorted(self.holds[y] - self.holds[x]) if self.welcome(q, x)] + [None]
+        mine = [p for p in sorted(self.holds[x] - self.holds[y]) if self.welcome(p, y)] + [NONE]
+        theirs = [q for q in sorted(self.holds[y] - self.holds[x]) if self.welcome(q, x)] + [NONE]
         for p in mine:
             for q in theirs:
-                moved = (self.amounts[p] if p is not None else 0) - (self.amounts[q] if q is not None else 0)
-                units = self.unit * ((p is not None) - (q is not None))
+                moved = self.amounts[p][False] - self.amounts[q][False]
+                units = self.unit * ((p != NONE) - (q != NONE))
                 benefit = before - abs(memory - 2 * units) - abs(demand - 2 * moved)
                 if benefit > 1e-9:
                     found.append((benefit, p, q))
         return found
 
-    def worst(self):
-        """The widest gap; a target that warms up may lie below its quota, but above it counts threefold."""
-        return max(max(w, 3 * a) if x in self.tender and self.holds[x] else max(abs(w), abs(a))
+    def worst(self, idle):
+        """The widest gap; where a target warms up, only above its quota, by that; an empty one is tried."""
+        empty = DEV + BAND + 1 if idle else 0.0
+        return max((50 * a / self.tender[x] if self.holds[x] else empty) if x in self.tender
+                   else max(w, a, -w * idle, -a * idle)
                    for x, (w, a) in enumerate(zip(self.memory, self.demand)))
 
 
@@ -164,26 +179,30 @@
         if self.whole:
             self.whole.ours, self.units[self.whole.slice] = True, self.whole
         self.joined = {}  # proxy -> deque of (mark, lines) not yet applied
-        self.most_joined, self.sums_at, self.wake_at = 0, 0, 0
-        self.marks, self.sent, self.ordinary_at = 0, deque(), 0
-        self.pressure = 1.0  # tries for each answer, over the fleet
-        self.run_at, self.judge_at, self.dev, self.frozen = 0, 0, DEV, ""
+        self.sums_at = self.wake_at = 0
+        self.marks = self.sent_at = 0
+        self.proven = 0.0  # most answers a second seen for a hundredth of a mean server
+        self.run_at, self.full_at, self.judge_at, self.dev, self.frozen = 0, 0, 0, DEV, ""
+        self.stir = False  # something came that may want orders at once
         self.ops = sorted(settings.operations, key=lambda op: op.billed_value)  # the cheapest first
 
     def handle(self, now, events):
         self.now, self.orders = now, []
         if not self.wake_at:
-            self.run_at = now + RUN_FIRST
+            self.run_at = self.full_at = now + RUN_FIRST
             self.orders += [face.Observe(True)] if self.settings.asks_roster else []
         for event in events:
             if type(event) in self.HANDLERS:
                 self.HANDLERS[type(event)](self, event)
-        self.evacuate()
         if now >= self.wake_at:
             self.wake_at = now + BEAT
             self.orders.append(face.Wake(self.wake_at))
             self.beat()
-        self.send()
+            self.stir = True
+        if self.stir:
+            self.stir = False
+            self.evacuate()
+            self.send()
         return self.orders
 
     def log(self, text):
@@ -193,35 +212,25 @@
         self.counter += 1
         return zlib.crc32(b"%d %d" % (self.settings.seed, self.counter)) / 2**32
 
-    def pick(self, weighted):
-        """One of (weight, ...) rows, by weight."""
-        left = self.draw() * sum(row[0] for row in weighted)
-        for row in weighted:
-            left -= row[0]
-            if left < 0:
-                break
-        return row
-
     # What comes in.
 
     def target(self, server):
-        return self.targets.setdefault(server, Target(server))
+        if server not in self.targets:
+            self.targets[server] = Target(server)
+        return self.targets[server]
 
     def step(self, tgt, what, figures=""):
         mode, effect = MODES.get((tgt.mode, what)) or MODES.get(("any", what)) or (tgt.mode, None)
         if mode != tgt.mode and tgt.mode != "unknown":
             self.log(f"server {tgt.server.name}: {tgt.mode} to {mode}: {what} {figures}")
-        tgt.mode = mode
+        tgt.mode, self.stir = mode, True
         if effect == "relieve":
-            self.relieve(tgt)
-            self.run_at = min(self.run_at, self.now + RUN_SOON)
+            for unit in self.ours():  # its old load would push it over
+                unit.want.pop(tgt, None)
+            tgt.gained, tgt.hold = True, self.now + HOLD
         elif effect == "strike":
-            tgt.strikes += 1
+            tgt.strikes = 1 + tgt.strikes * (self.now < tgt.until + FORGET)
             tgt.until = self.now + OUT_FOR * 2 ** min(tgt.strikes - 1, 3)
-        elif effect == "try":
-            tgt.until = self.now + TRIAL
-        elif effect == "pardon":
-            tgt.strikes = 0
 
     def on_roster(self, event):
         if event.how == "failed":
@@ -243,7 +252,6 @@
 
     def on_joined(self, event):
         self.joined[event.proxy] = deque()
-        self.most_joined = max(self.most_joined, len(self.joined))
         if self.whole:
             self.orders.append(face.Bind(self.whole.slice, event.proxy))
 
@@ -252,7 +260,9 @@
 
     def on_given(self, event):
         self.units[event.slice] = unit = Unit(event.slice)
-        unit.ours, unit.since = event.ours, self.now
+        unit.ours, unit.since, self.stir = event.ours, self.now, True
+        known = [other.rate for other in self.ours()]  # nothing is told of it yet, but it is not empty
+        unit.rate = unit.press = sum(known) / max(1, len(known))
 
     def on_held(self, event):
         unit, tgt = self.units[event.slice], self.target(event.server)
@@ -260,19 +270,21 @@
         unit.copies = max(1, len(unit.want))
 
     def on_heard(self, event):
-        self.sums_at = self.now
+        tgt, self.sums_at = self.target(event.server), self.now
         latency = (event.tries - event.unanswered) * event.latency
-        self.target(event.server).heard.add(self.now, event.tries, event.unanswered, latency)
+        tgt.heard.add(self.now, event.span, event.tries, event.unanswered, latency)
+        tgt.heard_at = self.now
 
     def on_demand(self, event):
         self.sums_at = self.now
         if not event.slice:
             return
         unit, tries = self.units[event.slice], event.tries
-        if event.unanswered > 0.2 * tries:
+        if event.unanswered > 0.2 * tries and unit.rate:
             # A retry storm in these sums must not read as demand that calls for copies.
-            tries = min(tries, self.demand(unit) * event.span / SECOND)
-        unit.came.add(self.now, tries, event.tries)
+            tries = min(tries, unit.rate * event.span / SECOND)
+        unit.came.add(self.now, event.span, tries, event.tries)
+        unit.told_at = self.now
 
     def on_applied(self, event):
         waiting = self.joined.get(event.proxy, ())
@@ -286,70 +298,58 @@
 
     def warmth(self, tgt):
         """The part of its capacity that a server surely has: evenly from the cold share to all of it."""
-        age = self.now - tgt.started if tgt.started else self.settings.warm_up
-        grown = min(1.0, max(0, age) / max(1, self.settings.warm_up)) if self.settings.warm_up else 1.0
-        return self.settings.cold_share + (1 - self.settings.cold_share) * grown
+        age = 0 if tgt.mode == "trial" else self.now - tgt.started if tgt.started else self.settings.warm_up
+        cold, grown = self.settings.cold_share, max(0, age) / max(1, self.settings.warm_up)
+        return min(1.0, cold + (1 - cold) * grown) if self.settings.warm_up else 1.0
 
     def quotas(self):
-        """Hundredths of a mean server by listed weight; less where it warms up or is on trial."""
-        open_ = [tgt for tgt in self.targets.values() if tgt.mode not in CLOSED and tgt.mode != "unknown"]
-        # Retries and overload press on a cold server too: it takes less as tries outnumber answers.
-        bears = {tgt: self.settings.cold_share if tgt.mode == "trial" else self.warmth(tgt) for tgt in open_}
-        raw = {tgt: tgt.weight * (bear if bear == 1 else bear / self.pressure)
-               for tgt, bear in bears.items()}
+        """Hundredths of a mean server by listed weight; less where it is crowded, on trial or warms up."""
+        raw = {tgt: tgt.weight * tgt.bears * self.warmth(tgt) for tgt in self.targets.values()
+               if tgt.mode not in CLOSED}
         scale = 100 * len(raw) / max(sum(raw.values()), 1e-9)
         return {tgt: part * scale for tgt, part in raw.items()}
 
-    def demand(self, unit):
-        """Invocations a second over the smoothing time, or over what is known of it."""
-        known = min(SMOOTHING, max(1, (self.now - unit.since) // SECOND))
-        return unit.came.total(self.now, SMOOTHING)[0] / known
-
     def ours(self):
         return [unit for unit in self.units.values() if unit.ours and unit is not self.whole]
 
+    def measure(self):
+        """Rates of our slices, over the smoothing time or what is known of it, and what presses of late."""
+        for unit in self.ours():
+            end = max(unit.told_at, self.now - TURN)
+            age = max(1, (end - unit.since) / SECOND)
+            if unit.told_at:
+                unit.rate = unit.came.total(end, SMOOTHING)[0] / min(SMOOTHING, age)
+            unit.press = max(unit.rate, unit.came.total(end, RECENT)[1] / min(RECENT, age))
+
     def loads(self, quota):
-        """Demand by unit, and load less quota by target, in hundredths of a mean server; other pilots'
-        slices are background in proportion to quota."""
-        units, total = self.ours(), sum(quota.values())
+        """Demand by unit (usual, tender), and load less quota by target; others' slices lie evenly."""
+        units = self.ours()
         share = len(units) / max(1, len(self.units))
-        demand = {unit: self.demand(unit) for unit in units}
-        scale = total * share / max(sum(demand.values()), 1e-9)
-        amounts = {unit: rate * scale for unit, rate in demand.items()}
+        scale = sum(quota.values()) * share / max(sum(unit.rate for unit in units), 1e-9)
+        # A slice may grow hot before its smoothed demand tells, and a storm's repeats fell a cold server too.
+        amounts = {unit: (unit.rate * scale, unit.press / (self.proven or 1 / scale)) for unit in units}
         gap = {tgt: -part * share for tgt, part in quota.items()}
         for unit in units:
-            for tgt in unit.want:
-                if tgt in gap:
-                    gap[tgt] += amounts[unit] / len(unit.want)
+            for tgt in unit.want.keys() & gap.keys():
+                gap[tgt] += amounts[unit][tgt.mode in TENDER] / len(unit.want)
         return amounts, gap
 
     # Slices that must move now.
 
-    def relieve(self, tgt):
-        """A just-started server keeps its least slice at the most: its old load would push it over."""
-        units = sorted((unit for unit in self.ours() if tgt in unit.want), key=self.demand)
-        tgt.gained = True
-        for unit in units[1:]:
-            del unit.want[tgt]
-            unit.urgent = True
-
     def evacuate(self):
         """Slices leave dead, draining and condemned servers at once; no table stays empty if it can be."""
         for unit in self.ours():
-            for tgt in [tgt for tgt in unit.want if tgt.mode in CLOSED]:
-                del unit.want[tgt]
-                unit.urgent = True
+            unit.want = {tgt: weight for tgt, weight in unit.want.items() if tgt.mode not in CLOSED}
         bare = [unit for unit in self.ours() if not unit.want]
         amounts, gap = self.loads(self.quotas()) if bare else ({}, {})
         for unit in bare if gap else ():
             # Many slices, or a hot one, would push a cold server over: one a run, and within its quota.
             able = [tgt for tgt in gap
-                    if tgt.mode not in TENDER or not tgt.gained and gap[tgt] + amounts[unit] <= 0]
+                    if tgt.mode not in TENDER or not tgt.gained and gap[tgt] + amounts[unit][True] <= 0]
             best = min(able or gap, key=gap.get)
             best.gained = True
             unit.want[best] = 1.0
-            gap[best] += amounts[unit]
-            unit.copies, unit.urgent = 1, True
+            gap[best] += amounts[unit][best.mode in TENDER]
 
     # What is weighed now and then.
 
@@ -359,191 +359,187 @@
                 self.step(tgt, "warm")
             elif tgt.mode == "out" and self.now >= tgt.until:
                 self.step(tgt, "due")
-        if self.now >= self.judge_at:
-            self.judge_at = self.now + SECOND
-            self.judge()
-            self.guard()
-            self.evacuate()
-        if self.whole:
-            return self.spread()
-        if self.now >= self.run_at and not self.freeze():
-            tender = any(tgt.mode in TENDER for tgt in self.targets.values())
-            self.run_at = self.now + (RUN_SOON if tender else RUN_EVERY)
-            self.run()
+        if self.now < self.judge_at:
+            return
+        self.judge_at = self.now + SECOND
+        self.measure()
+        self.judge()
+        self.evacuate()
+        if self.whole:  # one table of all open servers, by quota in steps
+            self.whole.want = {tgt: max(1, round(share / 10)) for tgt, share in self.quotas().items()}
+        elif self.now >= self.run_at and not self.freeze():
+            full = self.now >= self.full_at
+            self.full_at = self.now + RUN_EVERY if full else self.full_at
+            self.run(full)
 
     def freeze(self):
         """Cut off or blind, the pilot holds still rather than chase the little that it sees."""
-        blind = self.now - self.sums_at > 3 * self.settings.period + 3 * SECOND
-        why = "few proxies" if len(self.joined) * 2 < self.most_joined else "no sums" if blind else ""
+        blind = self.now - self.sums_at > 3 * self.settings.period + TURN
+        why = "few proxies" if len(self.joined) * 2 < self.settings.proxies else "no sums" if blind else ""
         if why != self.frozen:
-            self.log(f"freeze: {why or 'over'}: {len(self.joined)} of {self.most_joined} joined")
+            self.log(f"freeze: {why or 'over'}: {len(self.joined)} of {self.settings.proxies} joined")
         self.frozen = why
         return why
 
     def judge(self):
-        """Against peers of the same time, and never the last warm ones: their slices would fell the cold."""
-        seen, tried, answered = {}, 0, 0
+        """Against peers of the same time: many that fail at once are crowded, or fail at one operation alone,
+        and without the last warm ones their slices would fell the cold."""
+        shares, answered = {}, 0
         for tgt in self.targets.values():
-            tries, unanswered, latency = tgt.heard.total(self.now, JUDGED)
-            tried, answered = tried + tries, answered + tries - unanswered
-            if tries >= ENOUGH and tgt.mode not in CLOSED:
-                share = seen[tgt] = unanswered / tries
-                self.relent(tgt, share, latency / (tries - unanswered) if share < 1 else math.inf)
-        self.pressure = max(1.0, tried / max(answered, 0.2 * tried, 1))
-        middle = sorted([*seen.values(), 0.0])[(len(seen) + 1) // 2]
-        for tgt, share in seen.items():
-            modes = [other.mode for other in self.targets.values()]
-            room = tgt.mode == "trial" or modes.count("out") + 1 <= OUT_MOST * modes.count("fit")
-            if share >= DEAD and middle < 0.4 and room:
-                self.step(tgt, "failing", f"{share:.2f} unanswered, peers {middle:.2f}")
-            elif tgt.mode == "trial" and self.now >= tgt.until and share < max(0.3, 2 * middle):
-                self.step(tgt, "sound", f"{share:.2f} unanswered, peers {middle:.2f}")
-
-    def guard(self):
-        """A slice may grow hot at a cold server before its smoothed demand tells, or a storm may hide it."""
-        quota, units = self.quotas(), self.ours()
-        scale = sum(quota.values()) / max(sum(self.demand(unit) for unit in units), 1e-9)
-        for tgt in [tgt for tgt in quota if tgt.mode == "cold"]:
-            held = [unit for unit in units if tgt in unit.want]
-            came = sum(unit.came.total(self.now, 2)[1] / 2 / len(unit.want) for unit in held)
-            if came * scale > GUARD * quota[tgt]:
+            tries, unanswered, latency = tgt.heard.total(tgt.heard_at, RECENT)
+            fresh, good = self.now - tgt.heard_at < TURN, tries - unanswered
+            answered += good * fresh
+            if tries >= ENOUGH and tgt.mode not in CLOSED and fresh:
+                shares[tgt] = unanswered / tries
+                tgt.late = latency / good / HARD_LATE / self.ops[0].objective if good > 1 else tgt.late * FADE
+        strains = {tgt: max(share / HARD_SHARE, tgt.late) for tgt, share in shares.items()}
+        part = sum(self.quotas().values()) * len(self.ours()) / len(self.units)
+        self.proven = max(self.proven, answered / RECENT / max(part, 1))
+        usual = sorted([*strains.values(), 0.0])[(len(strains) + 1) // 4]
+        modes = [tgt.mode for tgt in self.targets.values()]
+        # A jam comes with late answers first; what dies or hangs falls silent out of good health.
+        dead = [tgt for tgt, share in shares.items() if share >= DEAD and tgt.late < 1]
+        alone = len(dead) + modes.count("out") <= OUT_MOST * modes.count("fit")
+        for tgt, share in shares.items():
+            if tgt in dead and (alone or tgt.mode == "trial"):
+                self.step(tgt, "failing", f"{share:.2f} unanswered, {len(dead)} such")
+            elif tgt.mode == "trial" and share < HARD_SHARE:
+                self.step(tgt, "sound", f"{share:.2f} unanswered")
+            elif tgt.late > 1 and self.now >= tgt.hold:  # a jam at a cold server feeds on its own retries
                 self.step(tgt, "strained")
-
-    def relent(self, tgt, share, latency):
-        """Late and unanswered work is lost: a strained server is sent less of the cheapest operation."""
-        objective = self.ops[0].objective
-        if share > HARD_SHARE or latency > HARD_LATENCY * objective:
-            if self.now >= tgt.hold or tgt.mode in TENDER:
-                tgt.level = max(LEVEL_LEAST, tgt.level * min(LEVEL_DOWN, 1 - share))
+            self.relent(tgt, strains[tgt], usual)
+
+    def relent(self, tgt, strain, usual):
+        """A server worse off than its peers bears less than is listed: slow, crowded, cut off for some or
+        failing at some operation.  Late work is lost: where it is late, less of the cheapest is let in."""
+        if self.now >= tgt.hold:
+            if strain > max(CROWDED, WORSE * usual):
+                tgt.bears, tgt.hold = max(BEARS_LEAST, tgt.bears * BEARS_DOWN), self.now + HOLD
+            if tgt.late > 1:
+                tgt.level = max(LEVEL_LEAST, tgt.level * max(LEVEL_DOWN, 1 / tgt.late))
                 tgt.hold = self.now + HOLD
-        elif share < HARD_SHARE / 2 and latency < HARD_LATENCY * objective * 2 / 3:
+        if strain < CROWDED / 2:
+            tgt.bears = min(1.0, tgt.bears + BEARS_UP)
+        if tgt.late < 2 / 3:
             tgt.level = min(1.0, tgt.level + LEVEL_UP)
 
-    def spread(self):
-        """Without slices: one table of all open servers, by quota in steps."""
-        self.whole.want = {tgt: max(1, round(share / 10)) for tgt, share in self.quotas().items()}
-        self.whole.urgent = any(tgt.mode in CLOSED for tgt in self.whole.have)
-
     # The mechanism.
 
-    def run(self):
-        units, quota = self.ours(), self.quotas()
+    def run(self, full):
+        """A full run keeps all within their quotas; a short one only looks after what lies above them."""
+        units, quota, idle = self.ours(), self.quotas(), IDLE if full else 0.0
         for tgt in quota:
-            tgt.gained = False
+            tgt.gained = tgt.mode == "cold" and self.now < tgt.hold
         demand, gap = self.loads(quota)
-        if len(quota) < 2 or not sum(demand.values()):
+        if len(quota) < 2 or not sum(rate for rate, _ in demand.values()):
             return
-        tgts, mean = list(quota), sum(quota.values()) / len(quota)
+        tgts = list(quota)
         for unit in units:
-            self.count(unit, demand[unit], mean, 1 if self.settings.exclusive else len(tgts))
-        amounts = [demand[unit] / unit.copies for unit in units]
-        memory = mean * len(tgts) / sum(unit.copies for unit in units)
+            self.count(unit, demand[unit][False] / 100, 1 if self.settings.exclusive else len(tgts), full)
+        share = len(units) / len(self.units)
+        amounts = [[part / unit.copies for part in demand[unit]] for unit in units] + [[0.0, 0.0]]
+        memory = MEMORY * 100 * len(tgts) / len(self.units)
         old = [{p for p, unit in enumerate(units) if tgt in unit.want} for tgt in tgts]
-        tender = {x for x, tgt in enumerate(tgts) if tgt.mode in TENDER}
-        gaps = [len(held) * memory - quota[tgt] for held, tgt in zip(old, tgts)], [gap[tgt] for tgt in tgts]
-        start = Partition(old, *gaps, amounts, memory, tender)
-        settled = all(len(unit.want) == unit.copies for unit in units) and all(old[x] for x in tender)
-        if settled and start.worst() <= self.dev + BAND:
+        tender = {x: share * quota[t] for x, t in enumerate(tgts) if t.mode in TENDER}
+        room = [len(held) * memory - MEMORY * share * quota[tgt] for held, tgt in zip(old, tgts)]
+        given = old, room, [*gap.values()], amounts, memory, tender, [tgt.gained for tgt in tgts]
+        start = Partition(*given)
+        self.dev = max(DEV, self.dev - STEP)  # what could not be mended may be by now
+        settled = all(len(unit.want) == unit.copies for unit in units)
+        if settled and start.worst(idle) <= self.dev + BAND:
             return
         best = None  # a candidate that fits a smaller deviation wins, then one with fewer changed placements
         for i in range(SOLUTIONS):
-            part = Partition(old, *gaps, amounts, memory, tender)
+            part = Partition(*given)
             self.recount(part, units)
-            for _ in range(ATTEMPTS + 1):
-                key = (max(1, math.ceil(part.worst() / DEV)) * DEV, part.distance)
+            for _ in range(max(ATTEMPTS, len(tgts)) + 1):
+                key = max(DEV, STEP * math.ceil(part.worst(idle) / STEP)), part.distance
                 if best is None or key < best[0]:
                     best = key, [set(held) for held in part.holds]
-                if key[0] <= DEV or not self.improve(part, 10 * i // SOLUTIONS):
+                if key[0] <= DEV or not self.improve(part, 10 * i < SOLUTIONS):
                     break
         self.dev = best[0][0]
-        self.log(f"run: gap {start.worst():.0f}, dev {self.dev:.0f}, {best[0][1]} placements")
+        self.log(f"run: gap {start.worst(idle):.0f}, dev {self.dev:.0f}, {best[0][1]} placements")
         for p, unit in enumerate(units):
-            mains = [tgt for tgt, held in zip(tgts, best[1]) if p in held]
-            if mains and set(mains) != set(unit.want):
-                unit.want = dict.fromkeys(mains, 1.0)
+            chosen = [tgt for tgt, held in zip(tgts, best[1]) if p in held]
+            if chosen and set(chosen) != set(unit.want):
+                unit.want = dict.fromkeys(chosen, 1.0)
 
-    def count(self, unit, demand, mean, most):
+    def count(self, unit, demand, most, full):
         """The copies rule: one more above beta of the mean, one less after some runs under half of that."""
-        while unit.copies < most and demand / unit.copies > BETA * mean:
+        while unit.copies < most and demand / unit.copies > BETA:
             unit.copies += 1
-        unit.low = unit.low + 1 if unit.copies > 1 and demand / (unit.copies - 1) < BETA * mean / 2 else 0
+        unit.low = unit.low + full if unit.copies > 1 and demand / (unit.copies - 1) < BETA / 2 else 0
         if unit.low >= LOW_RUNS:
             unit.copies, unit.low = unit.copies - 1, 0
 
     def recount(self, part, units):
-        """Add copies where there is most room, and drop them where there is least."""
+        """Drop copies where there is least room, and add them where there is most."""
         for p, unit in enumerate(units):
-            has = [x for x, held in enumerate(part.holds) if p in held]
-            for _ in range(unit.copies - len(has)):
-                free = [x for x in range(len(part.holds)) if p not in part.holds[x] and part.welcome(p, x)]
-                if free:
-                    part.put(p, min(free, key=lambda x: part.load(x) + 20 * self.draw()), 1)
-            for _ in range(len(has) - unit.copies):
-                x = max(has, key=part.load)
-                has.remove(x)
-                part.put(p, x, -1)
-
-    def improve(self, part, tenth):
-        """One move or swap, drawn as in the paper; False if the pair has none."""
-        size = len(part.holds)
-        pairs = [(part.deviation(x, y), x, y) for x in range(size) for y in range(x + 1, size)]
-        widest = tenth < 4 or (tenth >= 7 and self.draw() > 0.9)
-        for turn in range(min(TRIES, len(pairs))):  # a tender server is soon full, and its pairs have no swap
-            _, x, y = pairs[turn] if widest else self.pick(pairs)
-            swaps = part.swaps(x, y)
+            if len(unit.want) != unit.copies:
+                has = [x for x, held in enumerate(part.holds) if p in held]
+                has.sort(key=part.demand.__getitem__)
+                free = [x for x in range(len(part.holds)) if x not in has and part.welcome(p, x)]
+                free.sort(key=lambda x: part.demand[x] + 20 * self.draw())
+                for x in has[unit.copies:]:
+                    part.put(p, x, -1)
+                for x in free[:max(0, unit.copies - len(has))]:
+                    part.put(p, x, 1)
+
+    def improve(self, part, sure):
+        """One move or swap: the best of the widest pair, or drawn by deviation and benefit."""
+        def chance(row):
+            return row[0] if sure else self.draw() ** (1 / row[0])
+
+        for _, x, y in sorted(part.pairs(), key=chance, reverse=True):
+            swaps = part.swaps(x, y)  # a tender server is soon full, and its pairs have none
             if swaps:
-                break
-        else:
-            return False
-        best = tenth < 1 or 4 <= tenth < 7 or (tenth >= 7 and self.draw() > 0.9)
-        _, p, q = max(swaps, key=lambda row: row[0]) if best else self.pick(swaps)
-        for unit, source, goal in ((p, x, y), (q, y, x)):
-            if unit is not None:
-                part.put(unit, source, -1)
-                part.put(unit, goal, 1)
-        return True
+                _, *moved = max(swaps, key=chance)
+                for p, source, goal in zip(moved, (x, y), (y, x)):
+                    if p != NONE:
+                        part.put(p, source, -1)
+                        part.put(p, goal, 1)
+                return True
+        return False
 
     # The channel.
 
     def send(self):
         """Urgent orders first, then what the channel surely takes; removals lead, nothing is said twice."""
         limits, proxies = self.settings, len(self.joined)
-        while self.sent and self.sent[0] <= self.now - limits.messages_window:
-            self.sent.popleft()
         waiting = sum(lines for marks in self.joined.values() for _, lines in marks)
-        most = limits.messages_most or math.inf
-        calm = self.now >= self.ordinary_at and len(self.sent) < most / 2
+        changed = [(self.urgent(unit), unit) for unit in self.units.values() if unit.ours
+                   and (unit.want != unit.have or self.let_in(unit) != unit.level)]
+        pace = limits.messages_window / max(1, limits.messages_most - 1) if limits.messages_most else 0
+        calm = self.now >= self.sent_at + max(SECOND, 2 * pace)
+        if self.now < self.sent_at + pace or not (calm or any(urgent for urgent, _ in changed)):
+            return
         cost, lines = proxies * (limits.message_head + 1), []
-        changed = filter(self.changed, self.units.values()) if len(self.sent) + 1 < most else ()
-        for unit in sorted(changed, key=lambda unit: not unit.urgent):
-            room = (URGENT if unit.urgent else CHANNEL) * limits.channel_limit - waiting
-            replaced = limits.exclusive and unit.want
-            gone = [tgt for tgt in unit.have if tgt not in unit.want and not replaced]
-            delta = [face.SetLine(unit.slice, tgt.server, 0) for tgt in gone]
+        for urgent, unit in sorted(changed, key=lambda row: not row[0]):  # what can wait rides along
+            room = (URGENT if urgent else CHANNEL) * limits.channel_limit - waiting
+            delta = [face.SetLine(unit.slice, tgt.server, 0) for tgt in unit.have if tgt not in unit.want]
             delta += [face.SetLine(unit.slice, tgt.server, weight) for tgt, weight in unit.want.items()
                       if unit.have.get(tgt) != weight]
-            level = unit.level if unit.urgent else self.let_in(unit)  # levels wait where slices must move
+            level = unit.level if urgent else self.let_in(unit)  # levels wait where slices must move
             if level != unit.level:
                 delta.append(face.Admit(unit.slice, (self.ops[0],), level, 1))
-            if (unit.urgent or calm) and cost + proxies * len(delta) <= room:
+            if cost + proxies * len(delta) <= room:
                 cost += proxies * len(delta)
                 lines += delta
-                unit.have, unit.level, unit.urgent = dict(unit.want), level, False
+                unit.have, unit.level = dict(unit.want), level
         if not lines:
             return
         self.marks = self.marks % 65535 + 1
         self.orders += [*lines, face.Mark(self.marks)]
         for marks in self.joined.values():
             marks.append((self.marks, cost / proxies))
-        self.sent.append(self.now)
-        self.ordinary_at = self.now + SECOND
+        self.sent_at = self.now
 
     def let_in(self, unit):
         """A slice's level in steps, since each costs a line at each proxy."""
         levels = [tgt.level for tgt in unit.want] if self.settings.admits_by == "share" else []
-        return round(min(levels, default=1.0), 1)
+        return round(5 * min(levels, default=1.0)) / 5
 
-    def changed(self, unit):
-        # An ordinary change that waits may still name a server that has begun to drain.
-        unit.urgent = unit.urgent or any(tgt.mode in CLOSED for tgt in unit.have)
-        return unit.ours and (unit.want != unit.have or self.let_in(unit) != unit.level)
+    def urgent(self, unit):
+        """Whether it must leave a server that is not in good health: a waiting change may still name one."""
+        return not unit.have or any(tgt.mode != "fit" for tgt in unit.have if tgt not in unit.want)
