One level for all tables by the middle server; late answers need a busy report

Change: one order for all tables follows the middle server's lateness, a slice's own level only where its server is worse off than the best quarter; falls are deeper (to two fifths at once, a twentieth at least) and two seconds apart; late is two fifths of the latency objective; late answers of a server whose report shows nothing waiting lower nothing. It should also catch any overload that comes at once on all; it may hurt where reports are stuck on an idle moment on most servers.

--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -25,7 +25,6 @@
 BAND = 10.0  # a run is skipped within the last deviation plus this
 MEMORY = 0.25  # what the memory of all slices counts against their demand
 FILL = 0.5  # part of its quota that a slice may bring above it to a server that warms up
-IDLE = 0.5  # what a gap below the quota counts against one above: an idle server harms nobody
 SOLUTIONS = 20  # candidates a run
 ATTEMPTS = 20  # moves or swaps a candidate, or as many as there are servers
 NEAR = 3  # servers at each end that are paired for the widest gaps
@@ -35,12 +34,13 @@
 OUT_MOST = 0.25  # of the servers, how many may fail at once and still be taken out
 OUT_FOR = 8 * SECOND  # first time out; doubles with each failed trial
 FORGET = 60 * SECOND  # after the last time out, until its strikes are forgotten
-HARD_SHARE, HARD_LATE = 0.3, 0.6  # parts unanswered, and of the latency objective, that strain a server
+HARD_SHARE, HARD_LATE = 0.3, 0.4  # parts unanswered, and of the latency objective, that strain a server
 CROWDED = 0.6  # strain from which a server may be worse off than its peers
 WORSE = 1.5  # times the strain of the best quarter of peers from which a server is crowded
 BEARS_DOWN, BEARS_UP, BEARS_LEAST = 0.8, 0.05, 0.5  # how a crowded server's quota falls and comes back
-LEVEL_DOWN, LEVEL_UP, LEVEL_LEAST = 0.6, 0.2, 0.2  # how levels fall at the most, and come back
-HOLD = 3 * SECOND  # between two falls of a quota or a level, so that the sums can show the first
+LEVEL_DOWN, LEVEL_UP, LEVEL_LEAST = 0.4, 0.2, 0.05  # how levels fall at the most, and come back
+QUIET = {"queue": 1, "util": 0.8}  # reports below which late answers are not a server's own load
+HOLD = 2 * SECOND  # between two falls of a quota or a level, so that the sums can show the first
 CHANNEL = 0.45  # part of the channel's limit that ordinary orders may fill
 URGENT = 0.9  # and urgent ones
 
@@ -95,7 +95,7 @@
         self.server, self.mode, self.weight, self.started = server, "unknown", 1.0, 0
         self.heard = Ring(RECENT + 2, 3)  # tries, unanswered, latency of all that succeeded
         self.heard_at = self.until = self.strikes = self.hold = 0
-        self.gained = False  # a slice since the last run
+        self.gained = self.idle = False  # a slice since the last run; nothing waits, by its own report
         self.late = 1.0  # mean latency when it was last known, in parts of what strains a server
         self.bears = 1.0  # part of its listed weight that it is found to bear
         self.level = 1.0  # part of the cheapest operation that it is let in
@@ -162,11 +162,9 @@
                     found.append((benefit, p, q))
         return found
 
-    def worst(self, idle):
-        """The widest gap; where a target warms up, only above its quota, by that; an empty one is tried."""
-        empty = DEV + BAND + 1 if idle else 0.0
-        return max((50 * a / self.tender[x] if self.holds[x] else empty) if x in self.tender
-                   else max(w, a, -w * idle, -a * idle)
+    def worst(self, empty):
+        """The widest load above a quota; where a target warms up, by that quota; empty ones count as told."""
+        return max((50 * a / self.tender[x] if self.holds[x] else empty) if x in self.tender else max(w, a)
                    for x, (w, a) in enumerate(zip(self.memory, self.demand)))
 
 
@@ -179,11 +177,10 @@
         if self.whole:
             self.whole.ours, self.units[self.whole.slice] = True, self.whole
         self.joined = {}  # proxy -> deque of (mark, lines) not yet applied
-        self.sums_at = self.wake_at = 0
-        self.marks = self.sent_at = 0
+        self.sums_at = self.wake_at = self.judge_at = self.sent_at = self.marks = 0
+        self.fleet, self.level = Target(None), 1.0  # as its middle server; the level that is in force
         self.proven = 0.0  # most answers a second seen for a hundredth of a mean server
-        self.run_at, self.full_at, self.judge_at, self.dev, self.frozen = 0, 0, 0, DEV, ""
-        self.stir = False  # something came that may want orders at once
+        self.dev, self.frozen, self.stir = DEV, "", False  # stir: something came that may want orders at once
         self.ops = sorted(settings.operations, key=lambda op: op.billed_value)  # the cheapest first
 
     def handle(self, now, events):
@@ -273,7 +270,8 @@
         tgt, self.sums_at = self.target(event.server), self.now
         latency = (event.tries - event.unanswered) * event.latency
         tgt.heard.add(self.now, event.span, event.tries, event.unanswered, latency)
-        tgt.heard_at = self.now
+        signs = [value < QUIET[name] for name, value in event.load.items() if name in QUIET]
+        tgt.heard_at, tgt.idle = self.now, bool(signs) and all(signs)
 
     def on_demand(self, event):
         self.sums_at = self.now
@@ -382,8 +380,7 @@
         return why
 
     def judge(self):
-        """Against peers of the same time: many that fail at once are crowded, or fail at one operation alone,
-        and without the last warm ones their slices would fell the cold."""
+        """Against peers of the same time; many that fail at once are crowded or fail at one operation."""
         shares, answered = {}, 0
         for tgt in self.targets.values():
             tries, unanswered, latency = tgt.heard.total(tgt.heard_at, RECENT)
@@ -408,16 +405,17 @@
             elif tgt.late > 1 and self.now >= tgt.hold:  # a jam at a cold server feeds on its own retries
                 self.step(tgt, "strained")
             self.relent(tgt, strains[tgt], usual)
+        late = [0.0, *(0.0 if tgt.idle else tgt.late for tgt in shares)]
+        self.fleet.late = sorted(late)[len(late) // 2]
+        self.relent(self.fleet, self.fleet.late if self.fleet.late > 1 else 0, 0)
 
     def relent(self, tgt, strain, usual):
         """A server worse off than its peers bears less than is listed: slow, crowded, cut off for some or
         failing at some operation.  Late work is lost: where it is late, less of the cheapest is let in."""
-        if self.now >= tgt.hold:
-            if strain > max(CROWDED, WORSE * usual):
-                tgt.bears, tgt.hold = max(BEARS_LEAST, tgt.bears * BEARS_DOWN), self.now + HOLD
-            if tgt.late > 1:
+        if strain > max(CROWDED, WORSE * usual) and self.now >= tgt.hold:
+            tgt.bears, tgt.hold = max(BEARS_LEAST, tgt.bears * BEARS_DOWN), self.now + HOLD
+            if tgt.late > 1 and not tgt.idle:
                 tgt.level = max(LEVEL_LEAST, tgt.level * max(LEVEL_DOWN, 1 / tgt.late))
-                tgt.hold = self.now + HOLD
         if strain < CROWDED / 2:
             tgt.bears = min(1.0, tgt.bears + BEARS_UP)
         if tgt.late < 2 / 3:
@@ -426,8 +424,8 @@
     # The mechanism.
 
     def run(self, full):
-        """A full run keeps all within their quotas; a short one only looks after what lies above them."""
-        units, quota, idle = self.ours(), self.quotas(), IDLE if full else 0.0
+        """A full run also tries servers that warm up and are empty; a short one looks after load alone."""
+        units, quota, empty = self.ours(), self.quotas(), 2 * DEV if full else 0.0
         for tgt in quota:
             tgt.gained = tgt.mode == "cold" and self.now < tgt.hold
         demand, gap = self.loads(quota)
@@ -446,20 +444,20 @@
         start = Partition(*given)
         self.dev = max(DEV, self.dev - STEP)  # what could not be mended may be by now
         settled = all(len(unit.want) == unit.copies for unit in units)
-        if settled and start.worst(idle) <= self.dev + BAND:
+        if settled and start.worst(empty) <= self.dev + BAND:
             return
         best = None  # a candidate that fits a smaller deviation wins, then one with fewer changed placements
         for i in range(SOLUTIONS):
             part = Partition(*given)
             self.recount(part, units)
             for _ in range(max(ATTEMPTS, len(tgts)) + 1):
-                key = max(DEV, STEP * math.ceil(part.worst(idle) / STEP)), part.distance
+                key = max(DEV, STEP * math.ceil(part.worst(empty) / STEP)), part.distance
                 if best is None or key < best[0]:
                     best = key, [set(held) for held in part.holds]
                 if key[0] <= DEV or not self.improve(part, 10 * i < SOLUTIONS):
                     break
         self.dev = best[0][0]
-        self.log(f"run: gap {start.worst(idle):.0f}, dev {self.dev:.0f}, {best[0][1]} placements")
+        self.log(f"run: gap {start.worst(empty):.0f}, dev {self.dev:.0f}, {best[0][1]} placements")
         for p, unit in enumerate(units):
             chosen = [tgt for tgt, held in zip(tgts, best[1]) if p in held]
             if chosen and set(chosen) != set(unit.want):
@@ -509,18 +507,20 @@
         limits, proxies = self.settings, len(self.joined)
         waiting = sum(lines for marks in self.joined.values() for _, lines in marks)
         changed = [(self.urgent(unit), unit) for unit in self.units.values() if unit.ours
-                   and (unit.want != unit.have or self.let_in(unit) != unit.level)]
+                   and (unit.want != unit.have or self.let_in(unit.want) != unit.level)]
         pace = limits.messages_window / max(1, limits.messages_most - 1) if limits.messages_most else 0
         calm = self.now >= self.sent_at + max(SECOND, 2 * pace)
         if self.now < self.sent_at + pace or not (calm or any(urgent for urgent, _ in changed)):
             return
-        cost, lines = proxies * (limits.message_head + 1), []
+        cost, lines, level = proxies * (limits.message_head + 2), [], self.let_in([self.fleet])
+        if level != self.level:  # one line a proxy, where each slice's would fill the channel
+            lines, self.level = [face.Admit(None, (self.ops[0],), level, 1)], level
         for urgent, unit in sorted(changed, key=lambda row: not row[0]):  # what can wait rides along
             room = (URGENT if urgent else CHANNEL) * limits.channel_limit - waiting
             delta = [face.SetLine(unit.slice, tgt.server, 0) for tgt in unit.have if tgt not in unit.want]
             delta += [face.SetLine(unit.slice, tgt.server, weight) for tgt, weight in unit.want.items()
                       if unit.have.get(tgt) != weight]
-            level = unit.level if urgent else self.let_in(unit)  # levels wait where slices must move
+            level = unit.level if urgent else self.let_in(unit.want)  # levels wait where slices must move
             if level != unit.level:
                 delta.append(face.Admit(unit.slice, (self.ops[0],), level, 1))
             if cost + proxies * len(delta) <= room:
@@ -535,9 +535,9 @@
             marks.append((self.marks, cost / proxies))
         self.sent_at = self.now
 
-    def let_in(self, unit):
-        """A slice's level in steps, since each costs a line at each proxy."""
-        levels = [tgt.level for tgt in unit.want] if self.settings.admits_by == "share" else []
+    def let_in(self, tgts):
+        """The level of what stays on some servers, in steps, since each costs a line at each proxy."""
+        levels = [tgt.level for tgt in tgts] if self.settings.admits_by == "share" else []
         return round(5 * min(levels, default=1.0)) / 5
 
     def urgent(self, unit):
