--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -177,10 +177,10 @@
         if self.whole:
             self.whole.ours, self.units[self.whole.slice] = True, self.whole
         self.joined = {}  # proxy -> deque of (mark, lines) not yet applied
-        self.sums_at = self.wake_at = self.judge_at = self.sent_at = self.marks = 0
+        self.wake_at = self.judge_at = self.sent_at = self.marks = 0
         self.fleet, self.level = Target(None), 1.0  # as its middle server; the level that is in force
         self.proven = 0.0  # most answers a second seen for a hundredth of a mean server
-        self.dev, self.frozen, self.stir = DEV, "", False  # stir: something came that may want orders at once
+        self.dev, self.stir = DEV, False  # stir: something came that may want orders at once
         self.ops = sorted(settings.operations, key=lambda op: op.billed_value)  # the cheapest first
 
     def handle(self, now, events):
@@ -258,8 +258,6 @@
     def on_given(self, event):
         self.units[event.slice] = unit = Unit(event.slice)
         unit.ours, unit.since, self.stir = event.ours, self.now, True
-        known = [other.rate for other in self.ours()]  # nothing is told of it yet, but it is not empty
-        unit.rate = unit.press = sum(known) / max(1, len(known))
 
     def on_held(self, event):
         unit, tgt = self.units[event.slice], self.target(event.server)
@@ -267,14 +265,13 @@
         unit.copies = max(1, len(unit.want))
 
     def on_heard(self, event):
-        tgt, self.sums_at = self.target(event.server), self.now
+        tgt = self.target(event.server)
         latency = (event.tries - event.unanswered) * event.latency
         tgt.heard.add(self.now, event.span, event.tries, event.unanswered, latency)
         signs = [value < QUIET[name] for name, value in event.load.items() if name in QUIET]
         tgt.heard_at, tgt.idle = self.now, bool(signs) and all(signs)
 
     def on_demand(self, event):
-        self.sums_at = self.now
         if not event.slice:
             return
         unit, tries = self.units[event.slice], event.tries
@@ -365,20 +362,11 @@
         self.evacuate()
         if self.whole:  # one table of all open servers, by quota in steps
             self.whole.want = {tgt: max(1, round(share / 10)) for tgt, share in self.quotas().items()}
-        elif self.now >= self.run_at and not self.freeze():
+        elif self.now >= self.run_at:
             full = self.now >= self.full_at
             self.full_at = self.now + RUN_EVERY if full else self.full_at
             self.run(full)
 
-    def freeze(self):
-        """Cut off or blind, the pilot holds still rather than chase the little that it sees."""
-        blind = self.now - self.sums_at > 3 * self.settings.period + TURN
-        why = "few proxies" if len(self.joined) * 2 < self.settings.proxies else "no sums" if blind else ""
-        if why != self.frozen:
-            self.log(f"freeze: {why or 'over'}: {len(self.joined)} of {self.settings.proxies} joined")
-        self.frozen = why
-        return why
-
     def judge(self):
         """Against peers of the same time; many that fail at once are crowded or fail at one operation."""
         shares, answered = {}, 0
@@ -515,7 +503,7 @@
         cost, lines, level = proxies * (limits.message_head + 2), [], self.let_in([self.fleet])
         if level != self.level:  # one line a proxy, where each slice's would fill the channel
             lines, self.level = [face.Admit(None, (self.ops[0],), level, 1)], level
-        for urgent, unit in sorted(changed, key=lambda row: not row[0]):  # what can wait rides along
+        for urgent, unit in sorted(changed, key=lambda row: -row[0]):  # what can wait rides along
             room = (URGENT if urgent else CHANNEL) * limits.channel_limit - waiting
             delta = [face.SetLine(unit.slice, tgt.server, 0) for tgt in unit.have if tgt not in unit.want]
             delta += [face.SetLine(unit.slice, tgt.server, weight) for tgt, weight in unit.want.items()
@@ -541,5 +529,6 @@
         return round(5 * min(levels, default=1.0)) / 5
 
     def urgent(self, unit):
-        """Whether it must leave a server that is not in good health: a waiting change may still name one."""
-        return not unit.have or any(tgt.mode != "fit" for tgt in unit.have if tgt not in unit.want)
+        """2: it must leave a drained server, 1: one in bad health; a waiting change may still name one."""
+        modes = [tgt.mode for tgt in unit.have if tgt not in unit.want]
+        return 2 if "leaving" in modes else 1 if not unit.have or set(modes) - {"fit"} else 0
