--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -177,6 +177,7 @@
         if self.whole:
             self.whole.ours, self.units[self.whole.slice] = True, self.whole
         self.joined = {}  # proxy -> deque of (mark, lines) not yet applied
+        self.shut = {}  # targets that joined proxies are told to keep away from, in order
         self.wake_at = self.judge_at = self.sent_at = self.marks = 0
         self.fleet, self.level = Target(None), 1.0  # as its middle server; the level that is in force
         self.proven = 0.0  # most answers a second seen for a hundredth of a mean server
@@ -300,7 +301,7 @@
     def quotas(self):
         """Hundredths of a mean server by listed weight; less where it is crowded, on trial or warms up."""
         raw = {tgt: tgt.weight * tgt.bears * self.warmth(tgt) for tgt in self.targets.values()
-               if tgt.mode not in CLOSED}
+               if tgt.mode not in CLOSED and tgt not in self.shut}
         scale = 100 * len(raw) / max(sum(raw.values()), 1e-9)
         return {tgt: part * scale for tgt, part in raw.items()}
 
@@ -500,9 +501,17 @@
         calm = self.now >= self.sent_at + max(SECOND, 2 * pace)
         if self.now < self.sent_at + pace or not (calm or any(urgent for urgent, _ in changed)):
             return
-        cost, lines, level = proxies * (limits.message_head + 2), [], self.let_in([self.fleet])
+        # A zone's slices can fill the channel past the grace: one line a proxy shuts a server out before.
+        stale = dict.fromkeys(tgt for unit in self.ours() for tgt in unit.have if tgt not in unit.want)
+        shut = [tgt for tgt in stale if tgt.mode == "leaving" and tgt not in self.shut]
+        back = [tgt for tgt in self.shut if tgt.mode not in CLOSED and tgt not in stale]
+        self.shut = {tgt: None for tgt in [*self.shut, *shut] if tgt not in back}
+        lines = [face.Withdraw(tgt.server, tgt in shut) for tgt in shut + back]
+        level = self.let_in([self.fleet])
         if level != self.level:  # one line a proxy, where each slice's would fill the channel
-            lines, self.level = [face.Admit(None, (self.ops[0],), level, 1)], level
+            self.level = level
+            lines.append(face.Admit(None, (self.ops[0],), level, 1))
+        cost = proxies * (limits.message_head + 1 + len(lines))
         for urgent, unit in sorted(changed, key=lambda row: -row[0]):  # what can wait rides along
             room = (URGENT if urgent else CHANNEL) * limits.channel_limit - waiting
             delta = [face.SetLine(unit.slice, tgt.server, 0) for tgt in unit.have if tgt not in unit.want]
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -19,6 +19,7 @@
         self.tables = {piece: {} for piece in self.slices}
         self.rates = dict.fromkeys(self.slices, demand)
         self.failing, self.levels, self.latency, self.slow, self.load = {}, {}, SECOND // 5, {}, {}
+        self.shut, self.marks = set(), []  # withdrawn; not yet answered
         self.pilot = Pilot(self.settings)
         self.say(self.roster("cached"), *[face.Joined(proxy, True) for proxy in self.proxies])
         for n, piece in enumerate(self.slices):
@@ -52,21 +53,22 @@
                 case face.Admit(piece, operations, level, resend):
                     assert resend <= 1 or all(op.effect != "side-effecting" for op in operations)
                     self.levels |= {(piece, op): level for op in operations}
+                case face.Withdraw(server, out):
+                    assert out != (server in self.shut), "a standing withdrawal was repeated"
+                    (self.shut.add if out else self.shut.discard)(server)
+                case face.Mark(number):
+                    self.marks.append(number)
                 case face.Log(text):
                     self.log.append(text)
         return orders
 
     def run(self, seconds, sums=True):
         """Beats of a quarter second; the marks of each reply are answered in the next."""
-        applied = []
         for beat in range(4 * seconds):
             self.now += SECOND // 4
-            events, applied = applied + [face.Woke(0)], []
-            if sums and beat % 4 == 0:
-                events += self.sums()
-            for order in self.say(*events):
-                if isinstance(order, face.Mark):
-                    applied += [face.Applied(proxy, order.number, 0) for proxy in self.proxies]
+            events = [face.Applied(proxy, mark, 0) for mark in self.marks for proxy in self.proxies]
+            self.marks = []
+            self.say(*events, face.Woke(0), *(self.sums() if sums and beat % 4 == 0 else []))
 
     def sums(self):
         came = {}
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -223,6 +223,30 @@
     assert not fleet.holds(drained) and fleet.holds(fleet.servers[0])
 
 
+def test_a_drain_does_not_wait_for_room_in_the_channel():
+    """A zone's slices filled it past the grace, and proxies went on sending to servers that were gone."""
+    fleet = Fleet(slices=60, proxies=10, channel_limit=150.0)
+    fleet.run(5)
+    fleet.say(fleet.roster(s1="gone"))
+    assert fleet.holds(fleet.servers[1]) and fleet.shut == {fleet.servers[1]}
+    fleet.run(20)
+    assert not fleet.holds(fleet.servers[1])
+    fleet.say(fleet.roster(s1=("ready", fleet.now)))
+    fleet.run(2)
+    assert not fleet.shut
+
+
+def test_a_slice_taken_over_opens_the_server_that_it_is_on():
+    """Another pilot had put it on a server that came back; still shut out here, the slice would be bare."""
+    fleet = Fleet(slices=24)
+    fleet.run(5)
+    fleet.say(fleet.roster(s1="gone"))
+    piece = fleet.slices[0]
+    fleet.say(fleet.roster(s1="ready"), face.Given(piece, True), face.Held(piece, fleet.servers[1], 1.0))
+    fleet.run(2)
+    assert not fleet.shut
+
+
 def test_messages_and_lines_stay_within_the_limits():
     fleet = Fleet(servers=6, slices=60, messages_most=6, channel_limit=2000.0, warm_up=4 * SECOND)
     for n in range(60):
