--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -375,9 +375,12 @@
             tries, unanswered, latency = tgt.heard.total(tgt.heard_at, RECENT)
             fresh, good = self.now - tgt.heard_at < TURN, tries - unanswered
             answered += good * fresh
+            if fresh:
+                tgt.late = latency / good / HARD_LATE / self.ops[0].objective if good > 1 else tgt.late * FADE
+            if fresh and tgt.late > 1 and not tgt.idle and self.now >= tgt.hold:  # a cold jam feeds on itself
+                self.step(tgt, "strained")
             if tries >= ENOUGH and tgt.mode not in CLOSED and fresh:
                 shares[tgt] = unanswered / tries
-                tgt.late = latency / good / HARD_LATE / self.ops[0].objective if good > 1 else tgt.late * FADE
         strains = {tgt: max(share / HARD_SHARE, tgt.late) for tgt, share in shares.items()}
         part = sum(self.quotas().values()) * len(self.ours()) / len(self.units)
         self.proven = max(self.proven, answered / RECENT / max(part, 1))
@@ -391,8 +394,6 @@
                 self.step(tgt, "failing", f"{share:.2f} unanswered, {len(dead)} such")
             elif tgt.mode == "trial" and share < HARD_SHARE:
                 self.step(tgt, "sound", f"{share:.2f} unanswered")
-            elif tgt.late > 1 and self.now >= tgt.hold:  # a jam at a cold server feeds on its own retries
-                self.step(tgt, "strained")
             self.relent(tgt, strains[tgt], usual)
         late = [0.0, *(0.0 if tgt.idle else tgt.late for tgt in shares)]
         self.fleet.late = sorted(late)[len(late) // 2]
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -100,13 +100,16 @@
     assert len(fleet.holds(cold)) <= 1
 
 
-def test_a_cold_server_with_late_answers_is_emptied():
-    """Its jam fed on the retries that it caused, and it fell over two seconds later."""
+@pytest.mark.parametrize("tries, load, emptied", [(30, {}, True), (2, {}, True), (2, {"queue": 0.0}, False)])
+def test_a_cold_server_with_late_answers_is_emptied(tries, load, emptied):
+    """Its jam fed on the retries that it caused; with two pilots neither heard enough to judge by."""
     fleet, cold = cold_server_with_slices()
-    fleet.run(3)
-    fleet.say(face.Heard(0, cold, 30, 1, SECOND, SECOND, {}))
-    fleet.run(1)
-    assert not fleet.holds(cold)
+    fleet.pilot.target(cold).heard_at = 0
+    fleet.pilot.target(cold).heard = Ring(5, 3)
+    fleet.rates |= dict.fromkeys(fleet.holds(cold), 0)
+    fleet.say(face.Heard(0, cold, tries, 0, SECOND, SECOND, load))
+    fleet.run(2)
+    assert bool(fleet.holds(cold)) != emptied
 
 
 def test_late_answers_lower_the_cheapest_operation_and_silence_does_not():
