--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -41,8 +41,8 @@
 LEVEL_DOWN, LEVEL_UP, LEVEL_LEAST = 0.4, 0.2, 0.05  # how levels fall at the most, and come back
 QUIET = {"queue": 1, "util": 0.8}  # reports below which late answers are not a server's own load
 HOLD = 2 * SECOND  # between two falls of a quota or a level, so that the sums can show the first
-CHANNEL = 0.45  # part of the channel's limit that ordinary orders may fill
-URGENT = 0.9  # and urgent ones
+CHANNEL = 0.5  # part of the channel's limit that ordinary orders may fill
+URGENT = 0.8  # and urgent ones
 
 # What a server is to us, what comes in, what it becomes, and what is done.  A pair that is not here is
 # refused: the server stays as it is.  Closed servers hold no lines; tender ones gain one slice a run at most.
@@ -499,7 +499,7 @@
         changed = [(self.urgent(unit), unit) for unit in self.units.values() if unit.ours
                    and (unit.want != unit.have or self.let_in(unit.want) != unit.level)]
         pace = limits.messages_window / max(1, limits.messages_most - 1) if limits.messages_most else 0
-        calm = self.now >= self.sent_at + max(SECOND, 2 * pace)
+        calm = self.now >= self.sent_at + max(SECOND // 2, 2 * pace)
         if self.now < self.sent_at + pace or not (calm or any(urgent for urgent, _ in changed)):
             return
         # A zone's slices can fill the channel past the grace: one line a proxy shuts a server out before.
