--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -35,14 +35,14 @@
 OUT_FOR = 8 * SECOND  # first time out; doubles with each failed trial
 FORGET = 60 * SECOND  # after the last time out, until its strikes are forgotten
 HARD_SHARE, HARD_LATE = 0.3, 0.4  # parts unanswered, and of the latency objective, that strain a server
+COLD_LATE = 0.5  # and of the latency objective in one line, two answers, that empty a cold one
 CROWDED = 0.6  # strain from which a server may be worse off than its peers
 WORSE = 1.5  # times the strain of the best quarter of peers from which a server is crowded
 BEARS_DOWN, BEARS_UP, BEARS_LEAST = 0.8, 0.05, 0.5  # how a crowded server's quota falls and comes back
 LEVEL_DOWN, LEVEL_UP, LEVEL_LEAST = 0.4, 0.2, 0.05  # how levels fall at the most, and come back
 QUIET = {"queue": 1, "util": 0.8}  # reports below which late answers are not a server's own load
 HOLD = 2 * SECOND  # between two falls of a quota or a level, so that the sums can show the first
-CHANNEL = 0.5  # part of the channel's limit that ordinary orders may fill
-URGENT = 0.8  # and urgent ones
+ROOM = 0.5, 0.55, 0.62  # parts of the channel's limit to fill: with what can wait, bad health, and drains
 
 # What a server is to us, what comes in, what it becomes, and what is done.  A pair that is not here is
 # refused: the server stays as it is.  Closed servers hold no lines; tender ones gain one slice a run at most.
@@ -145,7 +145,8 @@
         """A target that warms up must not be pushed over: one slice a run, and only one that it can bear."""
         if y not in self.tender or p in self.old[y]:
             return True
-        return self.gained[y] < 1 and self.demand[y] + self.amounts[p][True] <= FILL * self.tender[y]
+        room = min(self.tender[y], FILL * self.tender[y] - self.demand[y])  # a hot slice grows on
+        return self.gained[y] < 1 and self.amounts[p][True] <= room
 
     def swaps(self, x, y):
         """The valid moves and swaps between two targets that bring them closer: (benefit, p, q)."""
@@ -203,9 +204,6 @@
             self.send()
         return self.orders
 
-    def log(self, text):
-        self.orders.append(face.Log(text))
-
     def draw(self):
         self.counter += 1
         return zlib.crc32(b"%d %d" % (self.settings.seed, self.counter)) / 2**32
@@ -220,7 +218,7 @@
     def step(self, tgt, what, figures=""):
         mode, effect = MODES.get((tgt.mode, what)) or MODES.get(("any", what)) or (tgt.mode, None)
         if mode != tgt.mode and tgt.mode != "unknown":
-            self.log(f"server {tgt.server.name}: {tgt.mode} to {mode}: {what} {figures}")
+            self.orders.append(face.Log(f"server {tgt.server.name}: {tgt.mode} to {mode}: {what} {figures}"))
         tgt.mode, self.stir = mode, True
         if effect == "relieve":
             for unit in self.ours():  # its old load would push it over
@@ -271,6 +269,8 @@
         tgt.heard.add(self.now, event.span, event.tries, event.unanswered, latency)
         signs = [value < QUIET[name] for name, value in event.load.items() if name in QUIET]
         tgt.heard_at, tgt.idle = self.now, bool(signs) and all(signs)
+        if latency > event.latency > COLD_LATE * self.ops[0].objective and not tgt.idle:
+            self.step(tgt, "strained")  # two late answers: a jam at a cold server feeds on its own retries
 
     def on_demand(self, event):
         if not event.slice:
@@ -377,8 +377,6 @@
             answered += good * fresh
             if fresh:
                 tgt.late = latency / good / HARD_LATE / self.ops[0].objective if good > 1 else tgt.late * FADE
-            if fresh and tgt.late > 1 and not tgt.idle and self.now >= tgt.hold:  # a cold jam feeds on itself
-                self.step(tgt, "strained")
             if tries >= ENOUGH and tgt.mode not in CLOSED and fresh:
                 shares[tgt] = unanswered / tries
         strains = {tgt: max(share / HARD_SHARE, tgt.late) for tgt, share in shares.items()}
@@ -446,8 +444,9 @@
                     best = key, [set(held) for held in part.holds]
                 if key[0] <= DEV or not self.improve(part, 10 * i < SOLUTIONS):
                     break
-        self.dev = best[0][0]
-        self.log(f"run: gap {start.worst(empty):.0f}, dev {self.dev:.0f}, {best[0][1]} placements")
+        self.dev, moves = best[0]
+        figures = f"gap {start.worst(empty):.0f}, dev {self.dev:.0f}, {moves} placements"
+        self.orders.append(face.Log(f"run: {figures}"))
         for p, unit in enumerate(units):
             chosen = [tgt for tgt, held in zip(tgts, best[1]) if p in held]
             if chosen and set(chosen) != set(unit.want):
@@ -514,7 +513,7 @@
             lines.append(face.Admit(None, (self.ops[0],), level, 1))
         cost = proxies * (limits.message_head + 1 + len(lines))
         for urgent, unit in sorted(changed, key=lambda row: -row[0]):  # what can wait rides along
-            room = (URGENT if urgent else CHANNEL) * limits.channel_limit - waiting
+            room = ROOM[urgent] * limits.channel_limit - waiting
             delta = [face.SetLine(unit.slice, tgt.server, 0) for tgt in unit.have if tgt not in unit.want]
             delta += [face.SetLine(unit.slice, tgt.server, weight) for tgt, weight in unit.want.items()
                       if unit.have.get(tgt) != weight]
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -100,6 +100,14 @@
     assert len(fleet.holds(cold)) <= 1
 
 
+@pytest.mark.parametrize("amount, held, welcome", [(0.4, 0, True), (1.1, 0, False), (0.4, 0.8, True),
+                                                   (0.8, 0.8, False)])
+def test_a_hot_slice_is_not_put_on_a_cold_server(amount, held, welcome):
+    """It fits alone, but what is hot grows on: parts are of the server's quota of 40."""
+    part = Partition([set(), set()], [0, 0], [0, 40 * (held - 1)], [(9, 40 * amount)], 1, {1: 40}, [0, 0])
+    assert part.welcome(0, 1) == welcome
+
+
 @pytest.mark.parametrize("tries, load, emptied", [(30, {}, True), (2, {}, True), (2, {"queue": 0.0}, False)])
 def test_a_cold_server_with_late_answers_is_emptied(tries, load, emptied):
     """Its jam fed on the retries that it caused; with two pilots neither heard enough to judge by."""
