--- a/flintreach/adapter/host.py
+++ b/flintreach/adapter/host.py
@@ -1,13 +1,12 @@
-"""Hosts instances: keeps each one's ids and objects, and turns wire values into events and orders."""
+"""Hosts instances: turns wire values into events, and orders into lines."""
 
 from collections.abc import Callable
 
 from flintreach import interface as face
+from flintreach import settings
 from flintreach.adapter import wire
+from flintreach.registry import Registry
 
-EFFECTS = {"read_like": "idempotent", "idempotency_key": "fingerprinted", "non_idempotent": "side-effecting"}
-LOADS = {"active": "inflight", "waiting": "queue", "cpu": "util", "avg_ms": "latency_ms", "rps": "qps",
-         "err_rps": "eps"}
 STATES = {"SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}
 ROSTERS = {"Partial": "delta", "Complete": "full", "Persisted": "cached", "Error": "failed"}
 STATUSES = {"Ok": "ok", "Failed": "error", "QueueFull": "full", "TimedOut": "timeout",
@@ -15,86 +14,18 @@
 EVERY_TABLE = 65535
 
 
-def settings_of(seed: int, config: dict[str, str]) -> face.Settings:
-    """The start-up settings; keys that are not known are passed over, absent ones keep their defaults."""
-    told = face.Settings(seed=seed)
-
-    def take(name: str, path: str, kind: Callable) -> None:
-        if config.get(path, "-") != "-":
-            setattr(told, name, kind(config[path]))
-
-    def truth(value: str) -> bool:
-        return value in ("true", "1")
-
-    def whole(value: str) -> int:
-        return int(float(value))
-
-    time, real = wire.nanoseconds, float
-    for name, path, kind in (
-        ("number", "me", whole), ("pilots", "balancers", whole), ("zone", "az", whole),
-        ("weights", "weights", str), ("tick", "tick", time),
-        ("proxies", "specifics.proxies", whole), ("exclusive", "specifics.exclusive", truth),
-        ("ask_within", "invariants.ask_within", time), ("cold_share", "invariants.cold_from", real),
-        ("warm_up", "invariants.warm_up", time), ("drain_grace", "invariants.drain_grace", time),
-        ("fall_multiple", "invariants.fall_multiple", real), ("fall_window", "invariants.tip_after", time),
-        ("only_draining_binds", "invariants.drain_binds_alone", truth),
-        ("bare_limit", "specifics.bare", time), ("channel_pace", "specifics.channel_rate", real),
-        ("channel_limit", "specifics.backlog", real), ("message_head", "specifics.overhead", real),
-        ("messages_most", "specifics.messages_most", whole),
-        ("messages_window", "specifics.update_window", time), ("transit", "specifics.propagation", time),
-        ("transit_most", "specifics.transit_max", time), ("period", "specifics.cycle", time),
-        ("sums_pace", "specifics.reports_per_s", real), ("admits_by", "specifics.admission", str),
-        ("choice", "specifics.choice", str), ("probes", "policy_limits.probes", truth),
-        ("tells", "policy_limits.may_tell", truth),
-    ):
-        take(name, path, kind)
-    told.zones = len(config.get("areas", "-").split(","))
-    told.asks_roster = config.get("discovery") == "on_request"
-    fields = config.get("report.fields", "-")
-    told.load_fields = () if fields in ("-", "") else tuple(LOADS.get(f, f) for f in fields.split(","))
-    told.slices = [face.Slice(n) for n in range(whole(config.get("specifics.ranges", "0")))]
-    writes = config.get("specifics.writers", "").split(",")
-    home = config.get("specifics.home_only", "").split(",")
-    for place in range(whole(config.get("request_classes.count", "0"))):
-        def of(key: str, default: str, place: int = place) -> str:
-            return config.get(f"request_classes.{place}.{key}", default)
-
-        def marked(values: list[str], place: int = place) -> bool:
-            return place < len(values) and truth(values[place])
-
-        told.operations.append(face.Operation(
-            name=of("name", str(place)), place=place, objective=time(of("objective", "1")),
-            integration_timeout=time(of("hard_limit", "4")), billed_value=real(of("worth", "1")),
-            effect=EFFECTS.get(of("idempotency", ""), "side-effecting"), group=of("group", "all"),
-            window=time(of("repeat_window", "0")), writes=marked(writes), home_only=marked(home)))
-    return told
-
-
 class Instance:
     """One pilot with the ids that it has been told."""
 
     def __init__(self, name: str, seed: int, config: dict[str, str], pilot: Callable):
         self.name = name
-        self.settings = settings_of(seed, config)
-        self.slices = {piece.number: piece for piece in self.settings.slices}
-        self.servers: dict[str, face.Server] = {}
-        self.names: dict[face.Server, str] = {}
-        self.proxies: dict[int, face.Proxy] = {}
+        self.settings = settings.read(seed, config)
+        self.registry = Registry(self.settings)
+        self.server, self.proxy, self.piece = (
+            self.registry.server, self.registry.proxy, self.registry.piece)
         self.events: list = []
         self.pilot = pilot(self.settings)
 
-    def server(self, name: str) -> face.Server:
-        if name not in self.servers:
-            self.servers[name] = face.Server(name)
-            self.names[self.servers[name]] = name
-        return self.servers[name]
-
-    def proxy(self, number: int) -> face.Proxy:
-        return self.proxies.setdefault(number, face.Proxy(number))
-
-    def piece(self, number: int) -> face.Slice:
-        return self.slices.setdefault(number, face.Slice(number))
-
     def load(self, row: list[float]) -> dict[str, float]:
         return dict(zip(self.settings.load_fields, row))
 
@@ -152,23 +83,23 @@
         return EVERY_TABLE if piece is None else piece.number
 
     def line(self, order) -> str:
-        name, real = self.name, wire.real
+        name, names, real = self.name, self.registry.names, wire.real
         match order:
             case face.SetLine():
-                return f"SET_LINE {name} {real(order.weight)} {order.slice.number} {self.names[order.server]}"
+                return f"SET_LINE {name} {real(order.weight)} {order.slice.number} {names[order.server]}"
             case face.Wake():
                 return f"WAKE_ME {name} {wire.seconds(order.at)} {order.label}"
             case face.Log():
                 return f"NOTE_DOWN {name} {wire.text(order.text)}"
             case face.Withdraw():
-                return f"WITHDRAW {name} {self.names[order.server]} {order.out:d}"
+                return f"WITHDRAW {name} {names[order.server]} {order.out:d}"
             case face.Admit():
                 return (f"ADMIT {name} {self.table(order.slice)} {self.bits(order.operations)} "
                         f"{real(order.level)} {order.resend}")
             case face.Mark():
                 return f"NONCE {name} {order.number} {order.everyone:d}"
             case face.Probe():
-                return f"ASK_LOAD {name} {self.names[order.server]}"
+                return f"ASK_LOAD {name} {names[order.server]}"
             case face.Tell():
                 to = "all" if order.pilot is None else order.pilot
                 return f"NOTIFY {name} {to} {wire.encoded(order.data)}"
--- a/flintreach/adapter/wire.py
+++ b/flintreach/adapter/wire.py
@@ -3,9 +3,11 @@
 import base64
 import binascii
 from collections.abc import Iterator
-from decimal import Decimal, InvalidOperation
+from decimal import InvalidOperation
 from typing import NamedTuple, TextIO
 
+from flintreach.settings import nanoseconds
+
 NANO = 1_000_000_000
 
 
@@ -24,20 +26,6 @@
     messages: list[Message]
 
 
-def nanoseconds(text: str) -> int:
-    """Seconds as the wire writes them, in whole nanoseconds.
-
-    >>> nanoseconds("8.41225"), nanoseconds("12"), nanoseconds("-")
-    (8412250000, 12000000000, 0)
-    """
-    if text == "-":
-        return 0
-    value = Decimal(text)
-    if not value.is_finite():
-        raise ValueError("not a time")
-    return int(value.scaleb(9))
-
-
 def seconds(time: int) -> str:
     """The first whole microsecond that is not before `time`, as the wire writes it.
 
--- /dev/null
+++ b/flintreach/net/config.py
@@ -0,0 +1,67 @@
+"""What the platform tells a pilot: PROXY_CONFIG and the variables beside it."""
+
+import json
+import os
+import zlib
+from dataclasses import dataclass
+
+from flintreach import interface as face
+from flintreach import settings
+from flintreach.net.http import address
+from flintreach.net.limits import Limits
+
+
+class ConfigError(ValueError):
+    """A configuration that nobody can start with; its text is for the operator."""
+
+
+@dataclass(slots=True)
+class Config:
+    name: str
+    seed: int
+    listen: str
+    discovery: str
+    store: str
+    peer_listen: str | None
+    peers: list[str]
+    peers_all: str | None
+    known: dict | None
+    limits: Limits
+    settings: face.Settings
+    zones: dict[str, int]
+    kinds: dict[str, int]
+
+
+def load(path: str | None, variables: dict[str, str] | None = None) -> Config:
+    variables = os.environ if variables is None else variables
+    path = path or variables.get("PROXY_CONFIG")
+    if not path:
+        raise ConfigError("PROXY_CONFIG names no file")
+    try:
+        with open(path, encoding="utf-8") as file:
+            told = json.load(file)
+        seed = zlib.crc32(str(told.get("seed", "")).encode())
+        nested = told["settings"]
+        return Config(
+            name=variables.get("PROXY_NAME") or str(told.get("name", "")), seed=seed,
+            listen=checked(variables.get("PROXY_LISTEN") or told["listen"]),
+            discovery=checked(variables.get("PROXY_DISCOVERY") or told["discovery"]),
+            store=checked(told["store"]["address"]),
+            peer_listen=told.get("peer_listen") and checked(told["peer_listen"]),
+            peers=[checked(peer) for peer in told.get("peers") or ()],
+            peers_all=told.get("peers_all") and checked(told["peers_all"]),
+            known=told.get("known"), limits=Limits.of(told.get("limits") or {}),
+            settings=settings.read(seed, dict(settings.flat(nested))),
+            zones={name: place for place, name in enumerate(nested.get("areas", ()))},
+            kinds={name: place for place, name in enumerate(nested.get("machine_types", ()))})
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except KeyError as error:
+        raise ConfigError(f"{path}: {error} is missing") from None
+    except (ValueError, TypeError, AttributeError, ArithmeticError, RecursionError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
+def checked(text: str) -> str:
+    address(text)
+    return text
--- /dev/null
+++ b/flintreach/net/http.py
@@ -0,0 +1,130 @@
+"""HTTP/1.1 calls over plain TCP, on httptools: a connection carries one call at a time."""
+
+import asyncio
+from collections.abc import Callable
+
+import httptools
+
+from flintreach.net.buffer import Buffer
+from flintreach.net.clock import Clock
+from flintreach.net.limits import Limits
+
+# State, input, next state, and how the call ended.  A pair that is not here changes nothing.
+STATES = {
+    ("dialling", "connected"): ("asked", None),
+    ("dialling", "lost"): ("closed", "unsent"),
+    ("dialling", "late"): ("closed", "unsent"),
+    ("asked", "whole"): ("idle", "answered"),
+    ("asked", "last"): ("closed", "answered"),
+    ("asked", "lost"): ("closed", "broken"),
+    ("asked", "late"): ("closed", "silent"),
+    ("asked", "garbled"): ("closed", "garbled"),
+    ("idle", "call"): ("asked", None),
+    ("idle", "lost"): ("closed", None),
+    ("idle", "garbled"): ("closed", None),
+}
+
+
+def address(text: str) -> tuple[str, int]:
+    """
+    >>> address("127.0.0.1:80")
+    ('127.0.0.1', 80)
+    """
+    host, _, port = text.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"not an address: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+class Connection(asyncio.Protocol):
+    """Dials at once and makes its first call; `done(how, status, body)` hears of each call's end once.
+
+    With `piece`, the body is a stream: it is handed on as it comes and no time limit runs once it does.
+    """
+
+    def __init__(self, clock: Clock, limits: Limits, to: str, done: Callable, piece: Callable | None = None):
+        self.clock, self.limits, self.to, self.done, self.piece = clock, limits, to, done, piece
+        self.state, self.transport, self.parser = "dialling", None, None
+        self.buffer, self.timer, self.request, self.wait = Buffer(limits.body), None, b"", 0
+
+    def call(self, method: str, path: str, wait: int, body: bytes = b"") -> None:
+        head = f"{method} {path} HTTP/1.1\r\nHost: {self.to}\r\n"
+        if body:
+            head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
+        self.request, self.wait = head.encode() + b"\r\n" + body, wait
+        if self.state == "idle":
+            self.step("call")
+        else:
+            self.timer = self.clock.limit(self.limits.dial_wait, lambda: self.step("late"))
+            self.task = self.clock.loop.create_task(self.dial())
+
+    async def dial(self) -> None:
+        try:
+            await self.clock.loop.create_connection(lambda: self, *address(self.to))
+        except OSError:
+            self.step("lost")
+
+    def step(self, what: str) -> None:
+        state, end = STATES.get((self.state, what), (self.state, None))
+        if state == self.state:
+            return
+        self.state = state
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+        if state == "asked":
+            self.parser, self.whole = httptools.HttpResponseParser(self), False
+            self.timer = self.clock.limit(self.wait, lambda: self.step("late"))
+            self.transport.write(self.request)
+        elif state == "closed":
+            self.shut()
+        if end:
+            status = self.parser.get_status_code() if end == "answered" else 0
+            self.done(end, status, self.buffer.take() if not self.piece else b"")
+
+    def close(self) -> None:
+        """Nothing more is heard of it."""
+        self.state = "closed"
+        if self.timer:
+            self.timer.cancel()
+        self.shut()
+
+    def shut(self) -> None:
+        if self.transport:
+            self.transport.abort()
+        else:
+            self.task.cancel()
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+        if self.state == "closed":
+            return transport.abort()
+        self.step("connected")
+
+    def data_received(self, data: bytes) -> None:
+        if self.state != "asked":
+            return self.step("garbled")
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            return self.step("garbled")
+        if self.whole:
+            self.step("whole" if self.parser.should_keep_alive() else "last")
+
+    def connection_lost(self, error) -> None:
+        self.step("lost")
+
+    # What the parser finds.
+
+    def on_headers_complete(self) -> None:
+        if self.piece and self.timer:
+            self.timer.cancel()
+
+    def on_body(self, body: bytes) -> None:
+        if self.piece:
+            self.piece(body)
+        else:
+            self.buffer.put(body)
+
+    def on_message_complete(self) -> None:
+        self.whole = True  # the owner may call again at once: not from within the parser
--- /dev/null
+++ b/flintreach/net/limits.py
@@ -0,0 +1,45 @@
+"""Every size, count and time of the transport, filled once at the start and handed down."""
+
+from dataclasses import dataclass
+
+from flintreach.interface import SECOND
+
+MS = SECOND // 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    clients: int = 256  # connections to us at once
+    strangers: int = 64  # of these, such as have not named a zone
+    line: int = 1 << 20  # bytes of a client's line, and of a line of news
+    stranger_line: int = 4096  # and before a zone is named
+    stranger_time: int = 10 * SECOND  # to name a zone or ask for a sign of life
+    unread: int = 64 << 10  # bytes that a client may leave unread
+    body: int = 8 << 20  # bytes of an answer
+    events: int = 20_000  # gathered in one turn; then clients are not read until it is over
+    figure: float = 1e9  # the largest that a report may hold
+    call_bytes: int = 60_000  # of orders in one call
+    call_wait: int = 150 * MS  # for a call's answer
+    dial_wait: int = 400 * MS
+    grace: int = 20 * MS  # to read what came during a stall, before a time limit counts
+    retry_first: int = 20 * MS  # first pause after a failure; doubles to the longest
+    retry_longest: int = 640 * MS
+    settle: int = 100 * MS  # of quiet after which a new news connection has told what stands
+    silence: int = 2500 * MS  # without a sign of life, news count as dead
+    watch: int = 2 * SECOND  # that discovery may hold a call
+    watch_late: int = 500 * MS  # over that, the call is given up
+    probe_wait: int = SECOND
+    probes: int = 64  # at once
+    datagram: int = 256
+    ready_wait: int = 2 * SECOND  # for discovery and news, before a sign of life is given without them
+
+    @classmethod
+    def of(cls, told: dict) -> "Limits":
+        """By the descriptors allowed: half for clients, the rest for probes and our own calls.
+
+        >>> Limits.of({"sockets": 100}).clients
+        50
+        """
+        sockets = int(told.get("sockets", 1024))
+        part = min(64, sockets // 8)
+        return cls(clients=min(256, sockets // 2), strangers=part, probes=part)
--- /dev/null
+++ b/flintreach/net/pilots.py
@@ -0,0 +1,31 @@
+"""Datagrams to and from the other pilots of the tier."""
+
+import asyncio
+
+from flintreach import interface as face
+from flintreach.net.http import address
+
+
+class Pilots(asyncio.DatagramProtocol):
+    def __init__(self, service, peers: list[str], everyone: str | None):
+        self.service, self.transport = service, None
+        self.peers = [address(peer) for peer in peers]
+        self.everyone = address(everyone) if everyone else None
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+
+    def error_received(self, error) -> None:
+        self.service.count("datagram not sent")
+
+    def datagram_received(self, data: bytes, source) -> None:
+        if source[:2] not in self.peers or len(data) > self.service.limits.datagram:
+            return self.service.count("datagram refused")
+        self.service.event(face.Told(self.peers.index(source[:2]), data))
+
+    def tell(self, pilot: int | None, data: bytes) -> None:
+        to = self.everyone if pilot is None else self.peers[pilot]
+        # A longer one voids more than itself; without a path the order can't be carried.
+        if not self.transport or not to or len(data) > self.service.limits.datagram:
+            return self.service.count("datagram not sent")
+        self.transport.sendto(data, to)
--- /dev/null
+++ b/flintreach/net/relay.py
@@ -0,0 +1,338 @@
+"""The relay: orders go out in calls, one at a time; news of proxies, slices and their lines come in.
+
+A call whose end is not known is settled by what the store holds: a new news connection opens with every
+line, so nothing is ordered twice on a guess, and no order is lost.
+"""
+
+import json
+
+from flintreach import interface as face
+from flintreach.net.buffer import Buffer, Overflow
+from flintreach.net.http import Connection
+from flintreach.net.limits import MS
+from flintreach.net.roster import figure
+
+# State of the calls, input, next state.  A pair that is not here changes nothing.
+STATES = {
+    ("free", "call"): "calling",
+    ("calling", "answered"): "free",
+    ("calling", "turned back"): "paused",
+    ("calling", "unsent"): "paused",
+    ("calling", "doubt"): "doubt",
+    ("paused", "due"): "free",
+    ("doubt", "settled"): "free",
+}
+
+
+class Calls:
+    def __init__(self, service):
+        self.service, self.state, self.failures = service, "free", 0
+        self.waiting: dict[tuple, dict] = {}  # the last word on each line, table, server, level and mark
+        self.flight: dict[tuple, dict] = {}  # what the call in hand carries, or the one in doubt
+        self.connection, self.folded = None, False
+
+    def encode(self, order) -> tuple[tuple, dict]:
+        """What an order is the last word on, and the order as the relay reads it."""
+        names = self.service.registry.names
+        match order:
+            case face.SetLine(piece, server, weight):
+                return ("line", piece.number, names[server]), {
+                    "op": "SET", "table": piece.number, "target": names[server], "rps": weight}
+            case face.Clear(piece):
+                return ("table", piece.number), {"op": "DEL", "table": piece.number}
+            case face.Withdraw(server, out):
+                return ("out", names[server]), {"op": "OUT" if out else "IN", "target": names[server]}
+            case face.Admit(piece, operations, level, resend):
+                lanes = [operation.name for operation in operations]
+                told = {"op": "LIMIT", "gate": level, "again": resend}
+                told |= {"table": piece.number} if piece else {}
+                told |= {"for": lanes} if lanes else {}
+                return ("level", piece.number if piece else None, *lanes), told
+            case face.Mark(number, everyone):
+                return ("mark",), {"op": "SYNC", "stamp": number, "flag": int(everyone)}
+        raise TypeError(f"the relay carries no {type(order).__name__}")
+
+    def send(self, orders: list) -> None:
+        """The orders of one reply: one message to each proxy concerned."""
+        self.folded = bool(self.waiting)
+        for order in orders:
+            key, told = self.encode(order)
+            if key[0] == "table":  # nothing ordered of the table before it counts any more
+                self.waiting = {k: v for k, v in self.waiting.items() if k[:2] != ("line", key[1])}
+            if key == ("mark",) and key in self.waiting:
+                told["flag"] |= self.waiting[key]["flag"]
+            self.waiting.pop(key, None)
+            self.waiting[key] = told
+        self.push()
+
+    def forget(self, piece: int) -> None:
+        """Orders for a slice that is no longer ours change nothing and cost bytes."""
+        self.waiting = {k: v for k, v in self.waiting.items()
+                        if k[0] not in ("line", "table", "level") or k[1] != piece}
+
+    def push(self) -> None:
+        if self.state != "free" or not self.waiting:
+            return
+        keys = list(self.waiting)
+        if self.folded:  # several replies in one: removals and withdrawals first, the mark last
+            keys.sort(key=lambda key: (key == ("mark",), self.waiting[key].get("rps", 0) > 0))
+        chosen, size = [], len(b'{"changes":[]}')
+        for key in keys:
+            size += len(json.dumps(self.waiting[key], separators=(",", ":"))) + 1
+            if size > self.service.limits.call_bytes:
+                break
+            chosen.append(key)
+        self.flight = {key: self.waiting.pop(key) for key in chosen}
+        self.step("call")
+        body = json.dumps({"changes": list(self.flight.values())}, separators=(",", ":")).encode()
+        # A connection a call: a kept one may be closed by the relay just as a call is written to it, and
+        # nobody would know whether it was carried out.
+        limits = self.service.limits
+        self.connection = Connection(self.service.clock, limits, self.service.store, self.done)
+        self.connection.call("POST", "/batches", limits.call_wait, body)
+
+    def step(self, what: str) -> None:
+        self.state = STATES.get((self.state, what), self.state)
+
+    def done(self, how: str, status: int, body: bytes) -> None:
+        self.connection.close()
+        taken = error = None
+        if how == "answered":
+            try:
+                answer = json.loads(body)
+                error = answer.get("error")
+                taken = None if error else int(figure(answer["taken"]))
+            except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
+                how = "garbled"
+        if error == "SYNTAX":  # it would be turned back for ever
+            self.service.log.error("call not understood", orders=len(self.flight))
+            taken = len(self.flight)
+        if taken is not None:
+            self.taken(taken)
+        elif error or how == "unsent":
+            self.step("unsent")
+            self.back(self.flight)
+            self.failures += 1
+            limits = self.service.limits
+            pause = self.service.clock.backoff(self.failures, limits.retry_first, limits.retry_longest)
+            self.service.mode("relay calls", "waiting", error or how)
+            self.service.clock.after(pause, self.due)
+        else:
+            self.step("doubt")
+            self.service.mode("relay calls", "doubt", f"{how}, {len(self.flight)} orders")
+            self.service.news.look()
+
+    def taken(self, number: int) -> None:
+        keys = list(self.flight)
+        self.service.news.ordered([self.flight[key] for key in keys[:number]])
+        rest = {key: self.flight[key] for key in keys[number + 1:]}
+        if number < len(keys):
+            self.service.log.warning("order refused by the relay", order=self.flight[keys[number]])
+        self.flight, self.failures = {}, 0
+        self.back(rest)
+        self.step("answered")
+        self.service.mode("relay calls", "taken", f"{number} orders")
+        self.push()
+
+    def back(self, orders: dict) -> None:
+        """Orders not carried out go in front; later words stand."""
+        self.waiting = {key: told for key, told in orders.items() if key not in self.waiting} | self.waiting
+        self.folded, self.flight = True, {}
+
+    def due(self) -> None:
+        self.step("due")
+        self.push()
+
+    def doubtful(self) -> set[int]:
+        """Slices whose lines tell whether the call in doubt was carried out."""
+        return {key[1] for key in self.flight if key[0] == "line"} if self.state == "doubt" else set()
+
+    def settle(self, tables: dict[int, dict[str, float]]) -> None:
+        """By the lines that the store holds; a call is carried out whole or not at all."""
+        lines = [(told["table"], told["target"], told["rps"]) for key, told in self.flight.items()
+                 if key[0] == "line" and key[1] in tables]
+        carried = bool(lines) and all(tables[n].get(name, 0) == rps for n, name, rps in lines)
+        self.service.mode("relay calls", "settled", "carried out" if carried else "not carried out")
+        if not carried:
+            self.back(self.flight)
+        self.flight = {}
+        self.step("settled")
+        self.push()
+
+
+class Feed:
+    """One news connection; `opening` until all that stands has been told on it."""
+
+    def __init__(self, news: "News"):
+        self.news, self.service = news, news.service
+        limits, clock = self.service.limits, self.service.clock
+        self.buffer, self.opening = Buffer(limits.line), True
+        self.proxies, self.tables = set(), {}  # told while opening
+        self.piece, self.timer = None, None  # the slice whose lines are coming
+        self.silence = clock.limit(limits.silence, lambda: self.lost("silent"))
+        self.connection = Connection(clock, limits, self.service.store,
+                                     lambda how, status, body: self.lost(how), self.take)
+        self.connection.call("GET", "/stream", limits.silence)
+
+    def lost(self, why: str) -> None:
+        self.close()
+        self.news.lost(self, why)
+
+    def close(self) -> None:
+        self.connection.close()
+        for timer in (self.silence, self.timer):
+            if timer:
+                timer.cancel()
+
+    def take(self, data: bytes) -> None:
+        self.silence.cancel()
+        limits = self.service.limits
+        self.silence = self.service.clock.limit(limits.silence, lambda: self.lost("silent"))
+        try:
+            self.buffer.put(data)
+            for line in self.buffer.lines():
+                self.item(json.loads(line))
+        except (Overflow, ValueError, KeyError, TypeError, RecursionError, OverflowError) as error:
+            self.lost(f"unreadable: {type(error).__name__}")
+
+    def item(self, message: dict) -> None:
+        kind, told = message.get("type"), message.get("object")
+        if kind != "line":
+            self.granted()
+        if not kind:
+            return self.news.opened(self)
+        if kind in KINDS:
+            KINDS[kind](self, told)
+
+    def granted(self) -> None:
+        """A slice's lines follow it; it counts as given once something else comes, or nothing for a while."""
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+        if self.piece is not None:
+            number, self.piece = self.piece, None
+            self.news.given(self, number, self.tables.pop(number))
+
+    # One method a kind of news.
+
+    def hello(self, told: dict) -> None:
+        proxy = self.service.proxy(told["id"])
+        proxy.zone, proxy.rate = self.service.zones[told["site"]], float(figure(told.get("rps", 0)))
+        self.proxies.add(proxy)
+        self.news.hello(self, proxy, told.get("new") is True)
+
+    def bye(self, told: dict) -> None:
+        proxy = self.service.proxy(told["id"])
+        self.proxies.discard(proxy)
+        self.news.bye(proxy)
+
+    def ack(self, told: dict) -> None:
+        proxy = self.service.proxy(told["id"])
+        self.service.event(face.Applied(proxy, int(figure(told["seq"])), int(figure(told.get("ms", 0)) * MS)))
+
+    def lease(self, told: dict) -> None:
+        number = told["range"]
+        self.service.registry.slices[number]
+        if told["flag"] is True:
+            self.piece, self.tables[number] = number, {}
+            self.timer = self.service.clock.limit(self.service.limits.settle, self.granted)
+        else:
+            self.news.withdrawn(number)
+
+    def line(self, told: dict) -> None:
+        if told["range"] == self.piece:
+            self.service.registry.server(told["target"])
+            self.tables[self.piece][told["target"]] = float(figure(told["rps"]))
+
+
+KINDS = {"hello": Feed.hello, "bye": Feed.bye, "ack": Feed.ack, "lease": Feed.lease, "line": Feed.line}
+
+
+class News:
+    """What the feeds tell, compared with what the decisions were told: nothing unchanged is told twice."""
+
+    def __init__(self, service):
+        self.service, self.feed, self.new, self.failures = service, None, None, 0
+        self.joined: set[face.Proxy] = set()
+        self.tables: dict[int, dict[str, float]] = {}  # of our slices, as the store holds them
+        self.stands: dict[int, dict[str, float]] = {}  # told by the connection that opens
+
+    def look(self) -> None:
+        """A new connection beside the old one, which goes on until all that stands has been told."""
+        if not self.new:
+            self.stands = {}
+            self.new = Feed(self)
+
+    def lost(self, feed: Feed, why: str) -> None:
+        if feed is self.feed:
+            self.feed = None
+        elif feed is self.new:
+            self.new = None
+        else:
+            return
+        self.service.mode("news", "lost", why)
+        self.failures += 1
+        limits = self.service.limits
+        pause = self.service.clock.backoff(self.failures, limits.retry_first, limits.retry_longest)
+        self.service.clock.after(pause, self.look)
+
+    def opened(self, feed: Feed) -> None:
+        """A sign of life: all that stands has come.  What did not come stands no more."""
+        if feed is not self.new:
+            return
+        for proxy in [proxy for proxy in self.joined if proxy not in feed.proxies]:
+            self.bye(proxy)
+        for number in [number for number in self.tables if number not in self.stands]:
+            self.withdrawn(number)
+        if self.feed:
+            self.feed.close()
+        self.feed, self.new, self.failures, feed.opening = feed, None, 0, False
+        self.service.mode("news", "told", f"{len(self.joined)} proxies, {len(self.tables)} slices")
+        self.settle(True)
+
+    def settle(self, whole: bool) -> None:
+        calls = self.service.calls
+        if calls.state == "doubt" and (whole or calls.doubtful() and calls.doubtful() <= self.stands.keys()):
+            calls.settle(self.stands)
+
+    def hello(self, feed: Feed, proxy: face.Proxy, fresh: bool) -> None:
+        if not feed.opening or proxy not in self.joined or fresh:
+            if proxy in self.joined:
+                self.service.event(face.Left(proxy))
+            self.joined.add(proxy)
+            self.service.event(face.Joined(proxy, fresh))
+
+    def bye(self, proxy: face.Proxy) -> None:
+        if proxy in self.joined:
+            self.joined.discard(proxy)
+            self.service.event(face.Left(proxy))
+
+    def given(self, feed: Feed, number: int, table: dict[str, float]) -> None:
+        doubtful = number in self.service.calls.doubtful()
+        if feed.opening:
+            self.stands[number] = table
+        # Known and as it was ordered: told again, its measures would be lost.
+        if not feed.opening or number not in self.tables or not doubtful and self.tables[number] != table:
+            piece = self.service.registry.slices[number]
+            self.service.event(face.Given(piece, True))
+            for name, weight in table.items():
+                self.service.event(face.Held(piece, self.service.registry.server(name), weight))
+        self.tables[number] = dict(table)
+        if feed.opening:
+            self.settle(False)
+
+    def withdrawn(self, number: int) -> None:
+        self.service.calls.forget(number)
+        if self.tables.pop(number, None) is not None:
+            self.service.event(face.Given(self.service.registry.slices[number], False))
+
+    def ordered(self, orders: list[dict]) -> None:
+        """What the relay took of them stands in the store from now on."""
+        for told in orders:
+            table = self.tables.get(told.get("table"))
+            if table is not None and told["op"] == "SET":
+                table.pop(told["target"], None)
+                if told["rps"] > 0:
+                    table[told["target"]] = told["rps"]
+            elif table is not None and told["op"] == "DEL":
+                table.clear()
--- /dev/null
+++ b/flintreach/net/roster.py
@@ -0,0 +1,108 @@
+"""Discovery: the whole list first, then watches, each at once after the last answer."""
+
+import json
+
+from flintreach import interface as face
+from flintreach.net.http import Connection
+from flintreach.net.limits import MS
+
+STATES = {"up": "ready", "draining": "draining", "removed": "gone"}
+PATH = "/discovery/hosts"
+
+
+def figure(value: object, most: float = float("inf")) -> float:
+    """A number from JSON that is finite, not negative and not absurd."""
+    if type(value) not in (int, float) or not 0 <= value < most:
+        raise ValueError(f"not a figure: {value!r:.40}")
+    return value
+
+
+class Roster:
+    def __init__(self, service):
+        self.service, self.index, self.known = service, None, False
+        self.connection, self.failures, self.on = None, 0, not service.settings.asks_roster
+
+    def events(self, answer: dict, how: str) -> list[face.Roster]:
+        """What an answer tells; all of it is read before any of it counts."""
+        service, entries, rows = self.service, [], answer["endpoints"]
+        for row in rows:
+            entry = (row["name"], row["address"], service.zones[row["zone"]],
+                     service.kinds.get(row.get("type"), 0), int(row.get("group", 0)), STATES[row["status"]],
+                     float(figure(row.get("weight", 1.0))), int(figure(row.get("since_ms", 0)) * MS))
+            if not isinstance(entry[0], str) or not isinstance(entry[1], str):
+                raise ValueError("a name or an address is no text")
+            entries.append(entry)
+        listed = []
+        for name, address, zone, kind, cell, state, weight, started in entries:
+            server = service.registry.server(name)
+            server.zone, server.kind, server.cell = zone, kind, cell
+            service.servers.addresses[server] = address
+            listed.append(face.Entry(server, state, weight, started))
+        return [face.Roster(how, listed)] if listed else []
+
+    def start(self) -> None:
+        if self.on and not self.connection:
+            self.connection = Connection(self.service.clock, self.service.limits, self.service.discovery,
+                                         self.done)
+            self.ask()
+
+    def observe(self, on: bool) -> None:
+        self.on = on
+        self.start()
+
+    def fetch(self) -> None:
+        """The whole list once more: with the next call."""
+        self.index = None
+        if self.connection:
+            self.connection.close()
+            self.connection = None
+        self.on = True
+        self.start()
+
+    def ask(self) -> None:
+        limits = self.service.limits
+        if self.index is None:
+            return self.connection.call("GET", PATH, limits.watch_late)
+        # Held for a short time only: a connection that vanished tells nothing, and what discovery has to
+        # tell soon counts as told.
+        path = f"{PATH}?after={self.index}&wait_ms={limits.watch // MS}"
+        self.connection.call("GET", path, limits.watch + limits.watch_late)
+
+    def done(self, how: str, status: int, body: bytes) -> None:
+        try:
+            if how != "answered" or status != 200:
+                raise ValueError(f"{how} {status}")
+            answer = json.loads(body)
+            index, whole = int(figure(answer["index"])), answer["snapshot"] is True
+            if whole and not answer["endpoints"]:
+                # Believed, it would take every server from every proxy at one word.
+                raise ValueError("an empty list")
+            if not whole and (self.index is None or index < self.index):
+                self.index, index = None, None  # it began anew: only the whole list says what holds
+            else:
+                for event in self.events(answer, "full" if whole else "delta"):
+                    self.service.event(event)
+        except (ValueError, KeyError, TypeError, RecursionError, OverflowError) as error:
+            return self.failed(f"{type(error).__name__} {error}")
+        self.index, self.failures = index, 0
+        self.service.mode("discovery", "told", f"index {index}")
+        if not self.known and index is not None:
+            self.known = True
+            self.service.check_ready()
+        if self.on and self.connection.state == "idle":
+            self.ask()
+        else:
+            self.connection.close()
+            self.connection = None
+            self.start()
+
+    def failed(self, why: str) -> None:
+        self.connection.close()
+        self.connection = None
+        self.failures += 1
+        self.service.mode("discovery", "lost", why)
+        if self.service.settings.asks_roster:
+            self.service.event(face.Roster("failed", []))
+        limits = self.service.limits
+        pause = self.service.clock.backoff(self.failures, limits.retry_first, limits.retry_longest)
+        self.service.clock.after(pause, self.start)
--- /dev/null
+++ b/flintreach/net/run.py
@@ -0,0 +1,52 @@
+"""Starts the loop, the log and the service of one pilot, and ends them."""
+
+import os
+import select
+import signal
+import sys
+
+import structlog
+import uvloop
+
+from flintreach.net.service import Service
+
+
+class Sink:
+    """Where log lines go.  A reader that hangs or a full disk must not stop the loop: lines are lost then."""
+
+    def __init__(self, number: int):
+        self.number, self.poll = number, select.poll()
+        self.poll.register(number, select.POLLOUT)
+
+    def write(self, text: str) -> None:
+        try:
+            if any(event & select.POLLOUT for _, event in self.poll.poll(0)):
+                os.write(self.number, text.encode()[:select.PIPE_BUF])  # a pipe takes so much at once
+        except OSError:
+            pass
+
+    def flush(self) -> None:
+        pass
+
+
+def logger(name: str):
+    structlog.configure(
+        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
+                    structlog.processors.KeyValueRenderer(key_order=["timestamp", "level", "event"])],
+        logger_factory=structlog.WriteLoggerFactory(file=Sink(sys.stdout.fileno())))
+    return structlog.get_logger(pilot=name)
+
+
+def run(config) -> int:
+    log, loop = logger(config.name), uvloop.new_event_loop()
+    service = Service(config, loop, log)
+    for sign in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(sign, service.stop, 0)
+    try:
+        loop.run_until_complete(service.start())
+    except OSError as error:
+        log.error("can't listen", error=str(error))
+        return 1
+    if not service.status:
+        loop.run_forever()
+    return service.status
--- /dev/null
+++ b/flintreach/net/servers.py
@@ -0,0 +1,45 @@
+"""Probes of servers, at the addresses that discovery provides."""
+
+from flintreach import interface as face
+from flintreach.net.http import Connection
+
+STATUSES = {"unsent": "connect_failed", "broken": "reset", "silent": "timeout", "garbled": "error"}
+
+
+def report(text: str, names: tuple[str, ...], known: dict[str, str]) -> dict[str, float]:
+    """
+    >>> report("cpu=0.61,waiting=2,odd=x", ("util",), {"cpu": "util", "waiting": "queue"})
+    {'util': 0.61}
+    """
+    found = {}
+    for part in text.strip().split(","):
+        name, _, value = part.partition("=")
+        name = known.get(name, name)
+        try:
+            if name in names and 0 <= float(value) < 1e9:
+                found[name] = float(value)
+        except ValueError:
+            continue
+    return found
+
+
+class Servers:
+    def __init__(self, service):
+        self.service, self.addresses, self.open = service, {}, set()
+
+    def probe(self, server: face.Server) -> None:
+        limits, clock = self.service.limits, self.service.clock
+        if len(self.open) >= limits.probes or server not in self.addresses:
+            return self.service.event(face.Probed(server, "connect_failed", 0, {}))
+        began, fields = clock.now(), self.service.settings.load_fields
+
+        def done(how: str, status: int, body: bytes) -> None:
+            self.open.discard(connection)
+            connection.close()
+            said = {200: "ok", 503: "full"}.get(status, "error") if how == "answered" else STATUSES[how]
+            load = report(body.decode("ascii", "replace"), fields, self.service.loads) if said == "ok" else {}
+            self.service.event(face.Probed(server, said, clock.now() - began, load))
+
+        connection = Connection(clock, limits, self.addresses[server], done)
+        self.open.add(connection)
+        connection.call("GET", "/metrics/load" if fields else "/alive", limits.probe_wait)
--- /dev/null
+++ b/flintreach/net/service.py
@@ -0,0 +1,129 @@
+"""Gathers what is ready, hands it to the decisions in one go, and carries out what comes back."""
+
+import asyncio
+import traceback
+
+from flintreach import interface as face
+from flintreach import settings
+from flintreach.logic import Pilot
+from flintreach.net.clients import Client, Clients
+from flintreach.net.clock import Clock
+from flintreach.net.http import address
+from flintreach.net.pilots import Pilots
+from flintreach.net.relay import Calls, News
+from flintreach.net.roster import Roster
+from flintreach.net.servers import Servers
+from flintreach.registry import Registry
+
+RELAYED = (face.SetLine, face.Clear, face.Withdraw, face.Admit, face.Mark)
+
+
+class Service:
+    def __init__(self, config, loop: asyncio.AbstractEventLoop, log):
+        self.loop, self.log, self.limits = loop, log, config.limits
+        self.settings, self.zones, self.kinds = config.settings, config.zones, config.kinds
+        self.operations = {operation.name: operation for operation in config.settings.operations}
+        self.loads, self.config = settings.LOADS, config
+        self.discovery, self.store = config.discovery, config.store
+        self.registry, self.clock = Registry(config.settings), Clock(loop, config.seed, config.limits.grace)
+        self.pilot = Pilot(config.settings)
+        self.gathered, self.turn_due, self.ready, self.status = [], False, False, 0
+        self.modes, self.counts = {}, {}
+        self.clients, self.calls, self.news = Clients(self), Calls(self), News(self)
+        self.roster, self.servers, self.pilots = Roster(self), Servers(self), None
+        self.longest = self.turns = 0
+
+    # What comes in.
+
+    def event(self, event) -> None:
+        self.gathered.append(event)
+        if not self.turn_due:
+            self.turn_due = True
+            self.clock.after(self.settings.tick, self.turn)
+
+    def full(self) -> bool:
+        return len(self.gathered) >= self.limits.events
+
+    def proxy(self, number: int) -> face.Proxy:
+        if type(number) is not int or not 0 <= number < self.settings.proxies:
+            raise ValueError(f"not a proxy: {number!r:.40}")
+        return self.registry.proxy(number)
+
+    # The loop.
+
+    def turn(self) -> None:
+        self.turn_due, events, self.gathered = False, self.gathered, []
+        began = self.clock.now()
+        try:
+            orders = self.pilot.handle(began, events)
+            self.carry(orders)
+        except Exception:
+            self.log.error("the decisions failed", trace=traceback.format_exc())
+            return self.stop(1)
+        self.turns, self.longest = self.turns + 1, max(self.longest, self.clock.now() - began)
+        self.clients.resume()
+
+    def carry(self, orders: list) -> None:
+        relayed = [order for order in orders if isinstance(order, RELAYED)]
+        if relayed:
+            self.calls.send(relayed)
+        for order in orders:
+            match order:
+                case face.Wake(at, label):
+                    self.clock.after(at - self.clock.now(), lambda label=label: self.event(face.Woke(label)))
+                case face.Log(text):
+                    self.log.info(text)
+                case face.Probe(server) if self.settings.probes:
+                    self.servers.probe(server)
+                case face.Tell(pilot, data) if self.settings.tells and self.pilots:
+                    self.pilots.tell(pilot, data)
+                case face.Observe(on):
+                    self.roster.observe(on)
+                case face.FetchRoster():
+                    self.roster.fetch()
+                case _ if not isinstance(order, RELAYED):
+                    self.log.error("an order that this protocol can't carry", order=type(order).__name__)
+
+    # Log.
+
+    def mode(self, what: str, now: str, figures: str = "") -> None:
+        """One line for each change of mode, never one a message."""
+        before, self.modes[what] = self.modes.get(what), now
+        if before != now:
+            self.log.info(f"{what}: {now}", figures=figures)
+
+    def count(self, what: str) -> None:
+        """The first is logged; the repeated are counted and told at the end and each power of ten."""
+        number = self.counts[what] = self.counts.get(what, 0) + 1
+        if str(number).strip("0") == "1":
+            self.log.warning(what, times=number)
+
+    # Start and end.
+
+    async def start(self) -> None:
+        config = self.config
+        known = self.roster.events(config.known, "cached") if config.known else []
+        self.gathered += known or [face.Roster("cached", [])]
+        self.turn()
+        host, port = address(config.listen)
+        self.server = await self.loop.create_server(lambda: Client(self.clients), host, port, backlog=512)
+        if config.peer_listen:
+            self.pilots = Pilots(self, config.peers, config.peers_all)
+            await self.loop.create_datagram_endpoint(lambda: self.pilots, address(config.peer_listen))
+        self.log.info("listening", at=config.listen)
+        self.roster.start()
+        self.news.look()
+        self.clock.after(self.limits.ready_wait, lambda: self.check_ready(True))
+
+    def check_ready(self, late: bool = False) -> None:
+        """Decisions stand on a list of servers; a discovery that is down must not keep us out for ever."""
+        if not self.ready and (late or self.roster.known):
+            self.ready = True
+            self.log.info("ready", servers=len(self.registry.servers), discovery=self.roster.known)
+            self.clients.ready()
+
+    def stop(self, status: int) -> None:
+        self.status = status
+        self.log.info("stopped", status=status, turns=self.turns, longest_ms=self.longest // 1_000_000,
+                      **{what.replace(" ", "_"): number for what, number in self.counts.items()})
+        self.loop.stop()
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -6,7 +6,8 @@
 
 from flintreach import interface as face
 from flintreach.adapter import wire
-from flintreach.adapter.host import Host, settings_of
+from flintreach.adapter.host import Host
+from flintreach.settings import read
 
 CONFIG = ("me=1 balancers=2 areas=a,b az=1 specifics.ranges=3 request_classes.count=1 "
           "request_classes.0.name=x request_classes.0.objective=1.2 "
@@ -30,7 +31,7 @@
 
 
 def test_settings_keep_times_exact_and_pass_over_unknown_keys():
-    told = settings_of(5, wire.pairs(CONFIG))
+    told = read(5, wire.pairs(CONFIG))
     assert (told.number, told.pilots, told.zones, told.tick) == (1, 2, 2, 4_000_000)
     assert told.operations[0].objective == 1_200_000_000 and told.operations[0].effect == "idempotent"
     assert [piece.number for piece in told.slices] == [0, 1, 2]
