Sums with more failures than tries are heard: an invocation may fail a period after it came

A period's failures may belong to invocations of the period before. Ruled out: broken JSON, unknown zones and figures out of bounds, none seen.

--- a/flintreach/net/clients.py
+++ b/flintreach/net/clients.py
@@ -66,10 +66,9 @@
         self.timer.cancel()
 
     def tries(self, message: dict) -> tuple[int, int, int]:
+        # What came in one period may go unanswered in the next: more may fail than came.
         most = self.service.limits.figure
         count, fail = int(figure(message["count"], most)), int(figure(message.get("fail", 0), most))
-        if fail > count:
-            raise ValueError("more failures than tries")
         return count, fail, int(figure(message["over"], most) * MS)
 
     def outcomes(self, message: dict) -> None:
