--- a/flintreach/net/buffer.py
+++ b/flintreach/net/buffer.py
@@ -14,7 +14,7 @@
     [b'one']
     >>> buffer.put(b"o\\n"); list(buffer.lines()), len(buffer)
     ([b'two'], 0)
-    >>> buffer.put(b"far too long")
+    >>> buffer.put(b"far too long"); list(buffer.lines())
     Traceback (most recent call last):
         ...
     flintreach.net.buffer.Overflow: 12 bytes, 8 allowed
@@ -36,7 +36,9 @@
                 self.store.extend(bytes(max(missing, len(self.store))))
         self.store[self.end:self.end + len(data)] = data
         self.end += len(data)
-        if len(self) > self.most and self.store.find(b"\n", self.seen, self.end) < 0:
+
+    def check(self) -> None:
+        if len(self) > self.most:
             raise Overflow(f"{len(self)} bytes, {self.most} allowed")
 
     def lines(self) -> Iterator[bytes]:
@@ -47,6 +49,7 @@
                 raise Overflow(f"{len(line)} bytes, {self.most} allowed")
             yield line
         self.seen = self.end  # a long line's bytes are looked at once, not with each piece
+        self.check()
         if self.start == self.end:
             self.start = self.end = self.seen = 0
 
--- a/flintreach/net/clients.py
+++ b/flintreach/net/clients.py
@@ -6,7 +6,7 @@
 from flintreach import interface as face
 from flintreach.net.buffer import Buffer, Overflow
 from flintreach.net.limits import MS
-from flintreach.net.roster import figure
+from flintreach.net.reading import UNREADABLE, figure
 
 ALIVE = b'{"msg":"alive"}\n'
 
@@ -23,8 +23,19 @@
         self.timer = self.service.clock.limit(limits.stranger_time, lambda: self.drop("silent stranger"))
         self.clients.add(self)
 
+    def heard(self) -> None:
+        """Those that have been silent the longest are dropped first; a stranger that asks may go on."""
+        if self not in self.clients.open:  # dropped meanwhile
+            return
+        self.clients.open[self] = self.clients.open.pop(self)
+        if self.zone is None:
+            self.timer.cancel()
+            self.timer = self.service.clock.limit(self.service.limits.stranger_time,
+                                                  lambda: self.drop("silent stranger"))
+
     def drop(self, why: str) -> None:
         self.service.count(f"client dropped: {why}")
+        self.clients.remove(self)  # at once: its end is heard of only after others have come
         self.transport.abort()
 
     def pause_writing(self) -> None:
@@ -39,11 +50,12 @@
             self.buffer.put(data)
             for line in self.buffer.lines():
                 self.take(json.loads(line))
+                self.heard()
             if self.zone is None and len(self.buffer) > self.service.limits.stranger_line:
                 raise Overflow("a stranger's long line")
         except Overflow:
             self.drop("long line")
-        except (ValueError, KeyError, TypeError, RecursionError, OverflowError):
+        except UNREADABLE:
             self.drop("malformed line")
         if self.service.full() and not self.transport.is_closing():
             self.transport.pause_reading()
@@ -103,12 +115,12 @@
         self.service, self.open, self.waiting, self.paused = service, {}, [], []
 
     def add(self, client: Client) -> None:
-        """The oldest stranger makes room: a flood of them must not keep collectors out."""
-        self.open[client] = None
+        """The stranger silent the longest makes room, or a collector: machines that vanished say nothing."""
         limits = self.service.limits
         strangers = [one for one in self.open if one.zone is None]
-        if len(strangers) > limits.strangers or len(self.open) > limits.clients:
-            strangers[0].drop("too many")
+        if len(strangers) >= limits.strangers or len(self.open) >= limits.clients:
+            (strangers or list(self.open))[0].drop("too many")
+        self.open[client] = None
 
     def remove(self, client: Client) -> None:
         self.open.pop(client, None)
--- a/flintreach/net/config.py
+++ b/flintreach/net/config.py
@@ -7,8 +7,10 @@
 
 from flintreach import interface as face
 from flintreach import settings
+from flintreach.net import roster
 from flintreach.net.http import address
 from flintreach.net.limits import Limits
+from flintreach.net.reading import UNREADABLE
 
 
 class ConfigError(ValueError):
@@ -42,7 +44,7 @@
             told = json.load(file)
         seed = zlib.crc32(str(told.get("seed", "")).encode())
         nested = told["settings"]
-        return Config(
+        config = Config(
             name=variables.get("PROXY_NAME") or str(told.get("name", "")), seed=seed,
             listen=checked(variables.get("PROXY_LISTEN") or told["listen"]),
             discovery=checked(variables.get("PROXY_DISCOVERY") or told["discovery"]),
@@ -54,11 +56,14 @@
             settings=settings.read(seed, dict(settings.flat(nested))),
             zones={name: place for place, name in enumerate(nested.get("areas", ()))},
             kinds={name: place for place, name in enumerate(nested.get("machine_types", ()))})
+        if config.known:
+            roster.rows(config.known, config)
+        return config
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
     except KeyError as error:
-        raise ConfigError(f"{path}: {error} is missing") from None
-    except (ValueError, TypeError, AttributeError, ArithmeticError, RecursionError) as error:
+        raise ConfigError(f"{path}: {error} is missing or not known") from None
+    except UNREADABLE as error:
         raise ConfigError(f"{path}: {error}") from None
 
 
--- a/flintreach/net/pilots.py
+++ b/flintreach/net/pilots.py
@@ -26,6 +26,6 @@
     def tell(self, pilot: int | None, data: bytes) -> None:
         to = self.everyone if pilot is None else self.peers[pilot]
         # A longer one voids more than itself; without a path the order can't be carried.
-        if not self.transport or not to or len(data) > self.service.limits.datagram:
+        if self.transport is None or to is None or len(data) > self.service.limits.datagram:
             return self.service.count("datagram not sent")
         self.transport.sendto(data, to)
--- a/flintreach/net/relay.py
+++ b/flintreach/net/relay.py
@@ -10,7 +10,7 @@
 from flintreach.net.buffer import Buffer, Overflow
 from flintreach.net.http import Connection
 from flintreach.net.limits import MS
-from flintreach.net.roster import figure
+from flintreach.net.reading import UNREADABLE, figure
 
 # State of the calls, input, next state.  A pair that is not here changes nothing.
 STATES = {
@@ -102,7 +102,7 @@
                 answer = json.loads(body)
                 error = answer.get("error")
                 taken = None if error else int(figure(answer["taken"]))
-            except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
+            except UNREADABLE:
                 how = "garbled"
         if error == "SYNTAX":  # it would be turned back for ever
             self.service.log.error("call not understood", orders=len(self.flight))
@@ -120,7 +120,7 @@
         else:
             self.step("doubt")
             self.service.mode("relay calls", "doubt", f"{how}, {len(self.flight)} orders")
-            self.service.news.look()
+            self.service.news.look(again=True)
 
     def taken(self, number: int) -> None:
         keys = list(self.flight)
@@ -161,13 +161,13 @@
 
 
 class Feed:
-    """One news connection; `opening` until all that stands has been told on it."""
+    """One news connection, which opens with all that stands."""
 
     def __init__(self, news: "News"):
         self.news, self.service = news, news.service
         limits, clock = self.service.limits, self.service.clock
-        self.buffer, self.opening = Buffer(limits.line), True
-        self.proxies, self.tables = set(), {}  # told while opening
+        self.buffer = Buffer(limits.line)
+        self.proxies, self.tables = set(), {}
         self.piece, self.timer = None, None  # the slice whose lines are coming
         self.silence = clock.limit(limits.silence, lambda: self.lost("silent"))
         self.connection = Connection(clock, limits, self.service.store,
@@ -192,14 +192,14 @@
             self.buffer.put(data)
             for line in self.buffer.lines():
                 self.item(json.loads(line))
-        except (Overflow, ValueError, KeyError, TypeError, RecursionError, OverflowError) as error:
+        except (Overflow, *UNREADABLE) as error:
             self.lost(f"unreadable: {type(error).__name__}")
 
     def item(self, message: dict) -> None:
         kind, told = message.get("type"), message.get("object")
         if kind != "line":
             self.granted()
-        if not kind:
+        if not message:
             return self.news.opened(self)
         if kind in KINDS:
             KINDS[kind](self, told)
@@ -219,7 +219,7 @@
         proxy = self.service.proxy(told["id"])
         proxy.zone, proxy.rate = self.service.zones[told["site"]], float(figure(told.get("rps", 0)))
         self.proxies.add(proxy)
-        self.news.hello(self, proxy, told.get("new") is True)
+        self.news.hello(proxy, told.get("new") is True)
 
     def bye(self, told: dict) -> None:
         proxy = self.service.proxy(told["id"])
@@ -257,9 +257,11 @@
         self.tables: dict[int, dict[str, float]] = {}  # of our slices, as the store holds them
         self.stands: dict[int, dict[str, float]] = {}  # told by the connection that opens
 
-    def look(self) -> None:
+    def look(self, again: bool = False) -> None:
         """A new connection beside the old one, which goes on until all that stands has been told."""
-        if not self.new:
+        if self.new and again:  # what it told may be older than the call in doubt
+            self.new.close()
+        if not self.new or again:
             self.stands = {}
             self.new = Feed(self)
 
@@ -286,7 +288,7 @@
             self.withdrawn(number)
         if self.feed:
             self.feed.close()
-        self.feed, self.new, self.failures, feed.opening = feed, None, 0, False
+        self.feed, self.new, self.failures = feed, None, 0
         self.service.mode("news", "told", f"{len(self.joined)} proxies, {len(self.tables)} slices")
         self.settle(True)
 
@@ -295,8 +297,9 @@
         if calls.state == "doubt" and (whole or calls.doubtful() and calls.doubtful() <= self.stands.keys()):
             calls.settle(self.stands)
 
-    def hello(self, feed: Feed, proxy: face.Proxy, fresh: bool) -> None:
-        if not feed.opening or proxy not in self.joined or fresh:
+    def hello(self, proxy: face.Proxy, fresh: bool) -> None:
+        # While two connections tell the same, what is known already is no news.
+        if not self.new or proxy not in self.joined or fresh:
             if proxy in self.joined:
                 self.service.event(face.Left(proxy))
             self.joined.add(proxy)
@@ -309,17 +312,16 @@
 
     def given(self, feed: Feed, number: int, table: dict[str, float]) -> None:
         doubtful = number in self.service.calls.doubtful()
-        if feed.opening:
+        if feed is self.new:
             self.stands[number] = table
         # Known and as it was ordered: told again, its measures would be lost.
-        if not feed.opening or number not in self.tables or not doubtful and self.tables[number] != table:
+        if not self.new or number not in self.tables or not doubtful and self.tables[number] != table:
             piece = self.service.registry.slices[number]
             self.service.event(face.Given(piece, True))
             for name, weight in table.items():
                 self.service.event(face.Held(piece, self.service.registry.server(name), weight))
         self.tables[number] = dict(table)
-        if feed.opening:
-            self.settle(False)
+        self.settle(False)
 
     def withdrawn(self, number: int) -> None:
         self.service.calls.forget(number)
--- a/flintreach/net/roster.py
+++ b/flintreach/net/roster.py
@@ -3,18 +3,25 @@
 import json
 
 from flintreach import interface as face
-from flintreach.net.http import Connection
+from flintreach.net.http import Connection, address
 from flintreach.net.limits import MS
+from flintreach.net.reading import UNREADABLE, figure
 
 STATES = {"up": "ready", "draining": "draining", "removed": "gone"}
 PATH = "/discovery/hosts"
 
 
-def figure(value: object, most: float = float("inf")) -> float:
-    """A number from JSON that is finite, not negative and not absurd."""
-    if type(value) not in (int, float) or not 0 <= value < most:
-        raise ValueError(f"not a figure: {value!r:.40}")
-    return value
+def rows(answer: dict, config) -> list[tuple]:
+    """What an answer lists; all of it is read before any of it counts."""
+    found = []
+    for row in answer["endpoints"]:
+        if not isinstance(row["name"], str):
+            raise ValueError("a name is no text")
+        address(row["address"])
+        found.append((row["name"], row["address"], config.zones[row["zone"]],
+                      config.kinds.get(row.get("type"), 0), int(row.get("group", 0)), STATES[row["status"]],
+                      float(figure(row.get("weight", 1.0))), int(figure(row.get("since_ms", 0)) * MS)))
+    return found
 
 
 class Roster:
@@ -23,20 +30,11 @@
         self.connection, self.failures, self.on = None, 0, not service.settings.asks_roster
 
     def events(self, answer: dict, how: str) -> list[face.Roster]:
-        """What an answer tells; all of it is read before any of it counts."""
-        service, entries, rows = self.service, [], answer["endpoints"]
-        for row in rows:
-            entry = (row["name"], row["address"], service.zones[row["zone"]],
-                     service.kinds.get(row.get("type"), 0), int(row.get("group", 0)), STATES[row["status"]],
-                     float(figure(row.get("weight", 1.0))), int(figure(row.get("since_ms", 0)) * MS))
-            if not isinstance(entry[0], str) or not isinstance(entry[1], str):
-                raise ValueError("a name or an address is no text")
-            entries.append(entry)
         listed = []
-        for name, address, zone, kind, cell, state, weight, started in entries:
-            server = service.registry.server(name)
+        for name, place, zone, kind, cell, state, weight, started in rows(answer, self.service.config):
+            server = self.service.registry.server(name)
             server.zone, server.kind, server.cell = zone, kind, cell
-            service.servers.addresses[server] = address
+            self.service.servers.addresses[server] = place
             listed.append(face.Entry(server, state, weight, started))
         return [face.Roster(how, listed)] if listed else []
 
@@ -82,7 +80,7 @@
             else:
                 for event in self.events(answer, "full" if whole else "delta"):
                     self.service.event(event)
-        except (ValueError, KeyError, TypeError, RecursionError, OverflowError) as error:
+        except UNREADABLE as error:
             return self.failed(f"{type(error).__name__} {error}")
         self.index, self.failures = index, 0
         self.service.mode("discovery", "told", f"index {index}")
--- a/flintreach/net/service.py
+++ b/flintreach/net/service.py
@@ -32,6 +32,7 @@
         self.clients, self.calls, self.news = Clients(self), Calls(self), News(self)
         self.roster, self.servers, self.pilots = Roster(self), Servers(self), None
         self.longest = self.turns = 0
+        loop.set_exception_handler(self.fault)
 
     # What comes in.
 
@@ -98,6 +99,12 @@
         if str(number).strip("0") == "1":
             self.log.warning(what, times=number)
 
+    def fault(self, loop, context: dict) -> None:
+        """A fault of the transport ends one callback, and is never hidden."""
+        error = context.get("exception")
+        self.log.error("fault in the transport", what=context.get("message"),
+                       trace="".join(traceback.format_exception(error)) if error else "")
+
     # Start and end.
 
     async def start(self) -> None:
@@ -110,7 +117,7 @@
         if config.peer_listen:
             self.pilots = Pilots(self, config.peers, config.peers_all)
             await self.loop.create_datagram_endpoint(lambda: self.pilots, address(config.peer_listen))
-        self.log.info("listening", at=config.listen)
+        self.log.info("listening", at="{}:{}".format(*self.server.sockets[0].getsockname()))
         self.roster.start()
         self.news.look()
         self.clock.after(self.limits.ready_wait, lambda: self.check_ready(True))
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,530 @@
+"""The transport by cases, with no sockets: time, connections and decisions are the helpers'."""
+
+import json
+
+import pytest
+from helpers import Log, Loop, Pipe, Recorder, Wire, listing, row, told
+
+from flintreach import interface as face
+from flintreach.interface import SECOND
+from flintreach.net import config, http, relay, roster, servers
+from flintreach.net.clients import Client
+from flintreach.net.pilots import Pilots
+from flintreach.net.service import Service
+
+
+@pytest.fixture
+def make(monkeypatch, tmp_path):
+    """A service that has been told the first list; its connections are in Wire.made."""
+    for module in (relay, roster, servers):
+        monkeypatch.setattr(module, "Connection", Wire)
+    monkeypatch.setattr(Wire, "made", [])
+
+    def build(**changes):
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(told(**changes)))
+        service = Service(config.load(str(path), {}), Loop(), Log())
+        service.pilot = Recorder()
+        service.roster.events(service.config.known, "cached")
+        return service
+    return build
+
+
+def joined(service, server="s0", slices=8):
+    """Its news connection, with three proxies and all slices told."""
+    service.news.look()
+    news = Wire.made[-1]
+    news.tell(*stands(server, slices), ())
+    service.loop.run(0.1)
+    service.pilot.seen.clear()
+    return news
+
+
+def stands(server="s0", slices=8, proxies=3):
+    return [("hello", {"id": n, "site": "south", "rps": 2.0, "new": False}) for n in range(proxies)] + [
+        item for n in range(slices) for item in (("lease", {"range": n, "flag": True}),
+                                                 ("line", {"range": n, "target": server, "rps": 1.0}))]
+
+
+def seen(service):
+    """What the decisions have been told, in short."""
+    service.loop.run(0.1)
+    short = {face.Joined: lambda e: ("joined", e.proxy.number), face.Left: lambda e: ("left", e.proxy.number),
+             face.Given: lambda e: ("given", e.slice.number, e.ours),
+             face.Held: lambda e: ("held", e.slice.number, e.server.name, e.weight),
+             face.Applied: lambda e: ("applied", e.proxy.number, e.number),
+             face.Roster: lambda e: (e.how, *[(entry.server.name, entry.state) for entry in e.entries])}
+    return [short[type(event)](event) for event in service.pilot.seen if type(event) in short]
+
+
+def put(service, number, server, weight=1.0):
+    return face.SetLine(service.registry.piece(number), service.registry.server(server), weight)
+
+
+def calls():
+    return [wire for wire in Wire.made if getattr(wire, "path", "") == "/batches"]
+
+
+def order(service, *orders):
+    service.carry([*orders, face.Mark(7)])
+
+
+# Clients.
+
+
+def connect(service, *lines):
+    client, client.transport = Client(service.clients), None
+    client.connection_made(Pipe())
+    for line in lines:
+        client.data_received(line)
+    return client
+
+
+SUMS = {"msg": "outcomes", "site": "south", "target": "s1", "count": 9, "fail": 1, "mean": 41.5,
+        "over": 1000.0, "util": {"cpu": 0.5, "waiting": 2, "odd": 1}}
+HOT = {"msg": "hot", "range": 3, "lane": "book", "count": 4, "fail": 6, "over": 500.0}
+
+
+def test_sums_become_events_across_pieces_of_one_byte(make):
+    service = make()
+    rows = SUMS, HOT, SUMS | {"target": "unheard-of"}
+    text = b"".join(json.dumps(line).encode() + b"\n" for line in rows)
+    connect(service, b'{"msg":"agent","site":"south"}\n', *[bytes([byte]) for byte in text])
+    heard, demand = service.gathered
+    assert (heard.zone, heard.server.name, heard.tries, heard.unanswered) == (1, "s1", 9, 1)
+    assert (heard.latency, heard.span, heard.load) == (41_500_000, SECOND, {"util": 0.5, "queue": 2})
+    # What came a period before may fail in this one: more fail than came.
+    assert (demand.slice.number, demand.operation.name, demand.tries, demand.unanswered) == (3, "book", 4, 6)
+    assert "unheard-of" not in service.registry.servers
+
+
+@pytest.mark.parametrize("line, dropped", [
+    (b"{}", True), (b"[]", True), (b"7", True), (b"{", True), (b"\xff\xfe", True), (b"[" * 100_000, True),
+    (json.dumps({"msg": "news of tomorrow"}).encode(), False),
+    (json.dumps({"msg": ["probe"]}).encode(), True),
+    (json.dumps(SUMS | {"new": "field"}).encode(), False),
+    *[(json.dumps(SUMS | bad).encode(), True) for bad in (
+        {"count": -1}, {"count": "9"}, {"count": True}, {"over": float("nan")}, {"mean": float("inf")},
+        {"count": 1e300}, {"site": "west"}, {"site": ["south"]}, {"util": [1]}, {"util": {"cpu": "x"}},
+        {"target": {}})],
+    *[(json.dumps(HOT | bad).encode(), True) for bad in (
+        {"range": 8}, {"range": "3"}, {"lane": "odd"}, {"over": -5}, {"range": None})],
+])
+def test_a_bad_line_ends_its_connection_alone(make, line, dropped):
+    service = make()
+    other = connect(service, b'{"msg":"agent","site":"south"}\n')
+    client = connect(service, b'{"msg":"agent","site":"north"}\n', line + b"\n")
+    assert (client.transport.closed, other.transport.closed) == (dropped, False)
+    assert len(service.log.lines) == dropped
+
+
+@pytest.mark.parametrize("data, dropped", [
+    (b"x" * 5000, True), (b"x" * 4000, False),
+    (b'{"msg":"agent","site":"south"}\n' + b"x" * 5000, False),
+    (b'{"msg":"agent","site":"south"}\n' + b"x" * (2 << 20), True),
+])
+def test_lines_that_do_not_end_are_bounded(make, data, dropped):
+    assert connect(make(), data).transport.closed == dropped
+
+
+def test_strangers_are_dropped_before_collectors_and_the_silent_in_time(make):
+    service = make()
+    collectors = [connect(service, b'{"msg":"agent","site":"south"}\n') for _ in range(3)]
+    strangers = [connect(service) for _ in range(500)]
+    asks = connect(service)
+    assert not any(client.transport.closed for client in [*collectors, asks])
+    assert len(service.clients.open) <= service.limits.strangers + 3
+    for _ in range(4):
+        service.loop.run(4)
+        asks.data_received(b'{"msg":"probe"}\n')
+    assert all(client.transport.closed for client in strangers) and not asks.transport.closed
+
+
+def test_collectors_that_vanished_make_room_for_new_ones(make):
+    """They give no sign; without room the new collectors of their zones would be turned away for ever."""
+    service = make()
+    old = [connect(service, b'{"msg":"agent","site":"south"}\n') for _ in range(service.limits.clients)]
+    for client in old[1:]:
+        client.data_received(json.dumps(HOT).encode() + b"\n")
+    new = connect(service, b'{"msg":"agent","site":"south"}\n')
+    assert old[0].transport.closed and not new.transport.closed and not old[1].transport.closed
+
+
+def test_who_reads_nothing_is_dropped_and_a_flood_of_sums_waits_for_a_turn(make):
+    service = make()
+    client = connect(service, b'{"msg":"agent","site":"south"}\n')
+    client.data_received((json.dumps(HOT).encode() + b"\n") * service.limits.events)
+    assert not client.transport.reading
+    service.loop.run(0.1)
+    assert client.transport.reading
+    client.pause_writing()
+    assert client.transport.closed
+
+
+def test_a_sign_of_life_waits_for_discovery_but_not_for_ever(make):
+    service = make()
+    client = connect(service, b'{"msg":"probe"}\n')
+    service.roster.start()
+    assert client.transport.written == b""
+    Wire.made[0].end(body=listing())
+    assert client.transport.written == b'{"msg":"alive"}\n'
+    late = make()
+    client = connect(late, b'{"msg":"probe"}\n')
+    late.check_ready(True)
+    assert client.transport.written == b'{"msg":"alive"}\n'
+
+
+# Discovery.
+
+
+def test_the_whole_list_then_watches_at_once(make):
+    service = make()
+    service.roster.start()
+    wire = Wire.made[0]
+    assert wire.path == "/discovery/hosts"
+    wire.end(body=listing(2, 41))
+    assert seen(service) == [("full", ("s0", "ready"), ("s1", "ready"))]
+    assert wire.path.startswith("/discovery/hosts?after=41&wait_ms=") and wire.state == "asked"
+    changed = [row(1, "draining", since_ms=1_700_000_000_123), row(7, "removed", zone="south")]
+    wire.end(body=listing(0, 43, False, endpoints=changed))
+    assert seen(service)[1:] == [("delta", ("s1", "draining"), ("s7", "gone"))]
+    entry = service.pilot.seen[-1].entries[0]
+    assert (entry.started, entry.server.kind, entry.server.cell) == (1_700_000_000_123_000_000, 1, 1)
+    wire.end(body=listing(0, 43, False))
+    assert len(seen(service)) == 2 and "after=43" in wire.path
+
+
+@pytest.mark.parametrize("how, status, body, path, told", [
+    ("silent", 0, b"", "?after=41&", []),
+    ("broken", 0, b"", "?after=41&", []),
+    ("answered", 503, b"", "?after=41&", []),
+    ("answered", 200, b"{", "?after=41&", []),
+    ("answered", 200, b"[" * 100_000, "?after=41&", []),
+    ("answered", 200, {"index": 42}, "?after=41&", []),
+    ("answered", 200, listing(0, 42), "?after=41&", []),  # an empty list would take every server away
+    ("answered", 200, listing(2, 42, endpoints=[row(0), row(1, "asleep")]), "?after=41&", []),
+    ("answered", 200, listing(2, 42, endpoints=[row(0, weight=-1)]), "?after=41&", []),
+    ("answered", 200, listing(2, 42, endpoints=[row(0, address="nowhere")]), "?after=41&", []),
+    ("answered", 200, listing(1, 7), "?after=7&", [("full", ("s0", "ready"))]),  # it began anew
+    ("answered", 200, listing(1, 7, False), "hosts", []),
+])
+def test_a_bad_answer_leaves_the_old_list_standing(make, how, status, body, path, told):
+    service = make()
+    service.roster.start()
+    Wire.made[0].end(body=listing(2, 41))
+    seen(service)
+    service.pilot.seen.clear()
+    Wire.made[0].end(how, status, body)
+    assert seen(service) == told
+    service.loop.run(1)
+    wire = Wire.made[-1]
+    assert wire.state == "asked" and path in wire.path and (path != "hosts" or wire.path.endswith("hosts"))
+
+
+def test_where_the_list_must_be_asked_for_the_decisions_ask(make):
+    settings = told()["settings"] | {"discovery": "on_request"}
+    service = make(settings=settings)
+    service.roster.start()
+    assert not Wire.made
+    service.carry([face.Observe(True)])
+    Wire.made[0].end("broken")
+    assert seen(service) == [("failed",)]
+    service.carry([face.FetchRoster()])
+    Wire.made[-1].end(body=listing(1))
+    assert seen(service)[1:] == [("full", ("s0", "ready"))]
+
+
+# Orders.
+
+
+def test_the_orders_of_a_reply_are_one_call(make):
+    service = make()
+    joined(service)
+    look = service.settings.operations[0]
+    order(service, face.Withdraw(service.registry.server("s2"), True), face.Admit(None, (look,), 0.6, 1),
+          face.Admit(service.registry.piece(3), (), 1.0, 0), put(service, 1, "s0", 0), put(service, 1, "s3"),
+          face.Clear(service.registry.piece(5)), face.Withdraw(service.registry.server("s1"), False))
+    (call,) = calls()
+    assert call.orders == [
+        {"op": "OUT", "target": "s2"}, {"op": "LIMIT", "gate": 0.6, "again": 1, "for": ["look"]},
+        {"op": "LIMIT", "gate": 1.0, "again": 0, "table": 3},
+        {"op": "SET", "table": 1, "target": "s0", "rps": 0},
+        {"op": "SET", "table": 1, "target": "s3", "rps": 1.0},
+        {"op": "DEL", "table": 5}, {"op": "IN", "target": "s1"}, {"op": "SYNC", "stamp": 7, "flag": 0}]
+    call.end(body={"taken": 8})
+    assert service.news.tables[1] == {"s3": 1.0} and service.news.tables[5] == {}
+
+
+def test_what_waits_is_folded_to_the_last_word_with_removals_first_and_the_mark_last(make):
+    service = make()
+    news = joined(service)
+    order(service, put(service, 1, "s3"))
+    order(service, put(service, 2, "s1"), put(service, 4, "s1"))
+    service.carry([put(service, 2, "s1", 0), put(service, 2, "s2"), put(service, 3, "s0", 0), face.Mark(8)])
+    news.tell(("lease", {"range": 4, "flag": False}))
+    first, = calls()
+    first.end("answered", 429, {"error": "BUSY"})
+    service.loop.run(1)
+    assert [(told["op"], told.get("table"), told.get("target"), told.get("rps", told.get("stamp")))
+            for told in calls()[1].orders] == [
+        ("SET", 2, "s1", 0), ("SET", 3, "s0", 0), ("SET", 1, "s3", 1.0), ("SET", 2, "s2", 1.0),
+        ("SYNC", None, None, 8)]
+
+
+def test_an_order_that_the_relay_refuses_is_left_out_and_the_rest_goes_on(make):
+    service = make()
+    joined(service)
+    order(service, put(service, 1, "s3"), put(service, 2, "s3"), put(service, 3, "s3"))
+    calls()[0].end(body={"taken": 1})
+    assert [o.get("table", o.get("stamp")) for o in calls()[1].orders] == [3, 7]
+    assert service.news.tables[1] == {"s0": 1.0, "s3": 1.0} and service.news.tables[2] == {"s0": 1.0}
+
+
+def test_a_reply_too_long_for_one_call_is_split(make):
+    settings = told()["settings"]
+    settings["specifics"]["ranges"] = 3000
+    service = make(settings=settings)
+    joined(service)
+    order(service, *[put(service, n, "s1") for n in range(3000)])
+    while calls()[-1].state == "asked":
+        assert len(json.dumps({"changes": calls()[-1].orders}, separators=(",", ":"))) <= 60_000
+        calls()[-1].end(body={"taken": len(calls()[-1].orders)})
+    assert len(calls()) > 2 and sum(len(call.orders) for call in calls()) == 3001
+
+
+@pytest.mark.parametrize("how, status, body", [
+    ("broken", 0, b""), ("silent", 0, b""), ("garbled", 0, b""), ("answered", 200, b"{"),
+    ("answered", 200, b"[]"), ("answered", 200, {"taken": "2"}), ("answered", 200, {"taken": -1}),
+])
+@pytest.mark.parametrize("carried", [True, False])
+def test_a_call_in_doubt_is_settled_by_what_the_store_holds(make, how, status, body, carried):
+    """Repeated on a guess, its lines and messages would count twice; dropped, drains would be late."""
+    service = make()
+    old = joined(service)
+    out = face.Withdraw(service.registry.server("s2"), True)
+    order(service, put(service, 1, "s0", 0), put(service, 1, "s3"), out)
+    calls()[0].end(how, status, body)
+    order(service, put(service, 2, "s3"))
+    assert len(calls()) == 1  # it waits until the first is settled
+    new = Wire.made[-1]
+    assert new.path == "/stream" and old.state == "asked"
+    table = "s3" if carried else "s0"
+    new.tell(*[(kind, it | {"target": table} if kind == "line" and it["range"] == 1 else it)
+               for kind, it in stands()], ())
+    again = [o.get("table", o["op"]) for o in calls()[1].orders]
+    assert again == ([2, "SYNC"] if carried else [1, "OUT", 1, 2, "SYNC"])
+    assert old.state == "closed" and seen(service) == []
+
+
+def test_a_connection_that_opened_before_the_doubt_does_not_settle_it(make):
+    service = make()
+    joined(service).end("broken")
+    service.loop.run(1)
+    early = Wire.made[-1]
+    early.tell(*stands())
+    order(service, put(service, 1, "s3"))
+    calls()[0].end("silent")
+    assert early.state == "closed" and Wire.made[-1] is not early and service.calls.state == "doubt"
+
+
+def test_a_call_that_never_left_is_made_again_soon(make):
+    service = make()
+    joined(service)
+    order(service, put(service, 1, "s3"))
+    for _ in range(12):
+        calls()[-1].end("unsent")
+        service.loop.run(0.7)
+    assert len(calls()) == 13 and calls()[-1].orders == calls()[0].orders
+
+
+def test_a_call_not_understood_is_not_made_for_ever(make):
+    service = make()
+    joined(service)
+    order(service, put(service, 1, "s3"))
+    calls()[0].end("answered", 400, {"error": "SYNTAX"})
+    service.loop.run(5)
+    assert len(calls()) == 1 and "call not understood" in service.log.lines
+
+
+def test_what_the_protocol_cannot_carry_is_refused_plainly(make):
+    service = make()
+    service.carry([face.Bind(service.registry.piece(1), service.registry.proxy(1))])
+    assert not calls() and any("can't carry" in line for line in service.log.lines)
+
+
+# News.
+
+
+def test_after_a_new_connection_only_what_changed_is_told(make):
+    service = make()
+    joined(service).end("broken")
+    service.loop.run(1)
+    changed = [("lease", {"range": 5, "flag": True}), ("line", {"range": 5, "target": "s1", "rps": 1.0}),
+               ("line", {"range": 5, "target": "s2", "rps": 0.5})]
+    rows = [item for item in stands(proxies=2) if item[1].get("range") not in (4, 5, 6)]
+    Wire.made[-1].tell(("hello", {"id": 0, "site": "south", "rps": 1.0, "new": True}), *rows[1:], *changed)
+    assert ("left", 2) not in seen(service)  # perhaps it is still to come
+    Wire.made[-1].tell(())
+    assert seen(service) == [("left", 0), ("joined", 0), ("given", 5, True), ("held", 5, "s1", 1.0),
+                             ("held", 5, "s2", 0.5), ("left", 2), ("given", 4, False), ("given", 6, False)]
+
+
+def test_a_slice_is_given_with_all_its_lines(make):
+    """Given without them, its table would look empty, and a server be ordered that it need not have."""
+    service = make()
+    news = joined(service)
+    news.tell(("lease", {"range": 3, "flag": False}), ("lease", {"range": 3, "flag": True}))
+    service.loop.run(0.01)
+    news.tell(("line", {"range": 3, "target": "s1", "rps": 1.0}))
+    service.loop.run(0.01)
+    news.tell(("line", {"range": 3, "target": "s2", "rps": 1.0}))
+    assert not any(isinstance(event, face.Held) for event in service.pilot.seen)
+    service.loop.run(0.2)
+    assert seen(service) == [("given", 3, False), ("given", 3, True), ("held", 3, "s1", 1.0),
+                             ("held", 3, "s2", 1.0)]
+
+
+def test_news_that_fall_silent_are_dialled_anew(make):
+    service = make()
+    news = joined(service)
+    for _ in range(4):
+        service.loop.run(1)
+        news.tell(("ack", {"id": 1, "seq": 9, "ms": 300.5}), ())
+    assert len(Wire.made) == 1 and ("applied", 1, 9) in seen(service)
+    service.loop.run(4)
+    assert news.state == "closed" and Wire.made[-1].state == "asked"
+
+
+@pytest.mark.parametrize("data", [b"{\n", b"[]\n", b"7\n",
+                                  b'{"type":"hello","object":{"id":99,"site":"south"}}\n',
+                                  b'{"type":"hello","object":{"id":1,"site":"west"}}\n',
+                                  b'{"type":"lease","object":{"range":8,"flag":true}}\n',
+                                  b'{"type":"ack","object":{"id":1,"seq":-1}}\n', b"x" * (2 << 20)])
+def test_news_that_cannot_be_read_end_the_connection(make, data):
+    service = make()
+    news = joined(service)
+    news.piece(data)
+    assert news.state == "closed" and not seen(service)
+    service.loop.run(1)
+    assert Wire.made[-1].state == "asked" and Wire.made[-1] is not news
+
+
+def test_unknown_news_are_passed_over(make):
+    service = make()
+    news = joined(service)
+    news.tell(("weather", {"sun": True}))
+    assert news.state == "asked" and not seen(service)
+
+
+# Servers, pilots, HTTP, the loop.
+
+
+@pytest.mark.parametrize("how, status, body, said, load", [
+    ("answered", 200, b"cpu=0.61,waiting=2,odd=1,waiting", "ok", {"util": 0.61, "queue": 2.0}),
+    ("answered", 200, b"\xff", "ok", {}), ("answered", 503, b"", "full", {}),
+    ("answered", 404, b"", "error", {}), ("silent", 0, b"", "timeout", {}),
+    ("broken", 0, b"", "reset", {}), ("unsent", 0, b"", "connect_failed", {}),
+    ("garbled", 0, b"", "error", {}),
+])
+def test_probes_tell_how_they_ended(make, how, status, body, said, load):
+    service = make()
+    service.carry([face.Probe(service.registry.server("s2"))])
+    assert Wire.made[0].path == "/metrics/load" and Wire.made[0].to == "127.0.0.1:9002"
+    Wire.made[0].end(how, status, body)
+    (event,) = service.gathered
+    assert (event.status, event.load) == (said, load)
+
+
+def test_datagrams_go_and_come_between_the_pilots_alone(make):
+    class Sent(list):
+        def sendto(self, data, to):
+            self.append((data, to))
+
+    service = make()
+    pilots = Pilots(service, ["127.0.0.1:1", "127.0.0.2:2"], "127.0.0.9:3")
+    pilots.connection_made(Sent())
+    pilots.tell(1, b"a")
+    pilots.tell(None, b"b")
+    pilots.tell(1, bytes(257))
+    assert pilots.transport == [(b"a", ("127.0.0.2", 2)), (b"b", ("127.0.0.9", 3))]
+    for data, source in ((b"c", ("127.0.0.2", 2)), (b"d", ("127.0.0.3", 2)), (bytes(257), ("127.0.0.2", 2))):
+        pilots.datagram_received(data, source)
+    assert [(event.pilot, event.data) for event in service.gathered] == [(1, b"c")]
+
+
+class Socketless(http.Connection):
+    """A connection whose dialling is left to the test."""
+
+    async def dial(self):
+        pass
+
+
+@pytest.mark.parametrize("data, end", [
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", ("answered", 200, b"hello")),
+    (b"HTTP/1.1 429 No\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", ("answered", 429, b"")),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n",
+     ("answered", 200, b"hello")),
+    (b"SMTP ready\r\n", ("garbled", 0, b"")),
+])
+@pytest.mark.parametrize("size", [1, 1000])
+def test_answers_are_read_across_any_pieces(make, data, end, size):
+    service, ends = make(), []
+    service.loop.create_task = lambda task: task.close()
+    connection = Socketless(service.clock, service.limits, "127.0.0.1:9", lambda *told: ends.append(told))
+    connection.call("GET", "/x", SECOND)
+    connection.connection_made(Pipe())
+    for at in range(0, len(data), size):
+        connection.data_received(data[at:at + size])
+    assert ends == [end]
+    assert connection.state == ("idle" if end[0] == "answered" and b"close" not in data else "closed")
+
+
+def test_an_error_in_place_of_news_is_no_news(make):
+    service, ends, pieces = make(), [], []
+    service.loop.create_task = lambda task: task.close()
+    connection = Socketless(service.clock, service.limits, "127.0.0.1:9", lambda *told: ends.append(told[0]),
+                            pieces.append)
+    connection.call("GET", "/stream", SECOND)
+    connection.connection_made(Pipe())
+    connection.data_received(b"HTTP/1.1 429 Busy\r\nContent-Length: 2\r\n\r\n{}")
+    assert ends == ["garbled"] and not pieces
+
+
+def test_a_time_limit_first_reads_what_came_during_a_stall(make):
+    service = make()
+    done = []
+    service.clock.limit(SECOND, lambda: done.append("late"))
+    service.loop.run(1.0)
+    assert not done
+    service.loop.run(0.1)
+    assert done == ["late"]
+
+
+def test_wakes_come_in_time_and_never_within_the_reply_that_asked(make):
+    service = make()
+    service.pilot.orders = [face.Wake(service.clock.now(), 5)]
+    service.event(face.Woke(1))
+    service.loop.run(0.001)
+    assert [event.label for event in service.pilot.seen] == [1]
+    service.loop.run(0.1)
+    assert [event.label for event in service.pilot.seen] == [1, 5]
+
+
+def test_a_failure_of_the_decisions_ends_the_process_with_its_trace(make):
+    service = make()
+    service.pilot.handle = lambda now, events: 1 // 0
+    service.event(face.Woke(1))
+    service.loop.run(1)
+    assert service.loop.stopped and service.status == 1 and "the decisions failed" in service.log.lines
+
+
+@pytest.mark.parametrize("changes, what", [
+    ({"settings": None}, "config.json"), ({"listen": "nowhere"}, "not an address: 'nowhere'"),
+    ({"store": {}}, "'address' is missing"), ({"known": {"endpoints": [{}]}}, "'name' is missing"),
+    ({"peers": ["x:y"]}, "not an address"), ({"settings": {"tick": "soon"}}, "config.json"),
+])
+def test_a_bad_configuration_is_named(tmp_path, changes, what):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(told(**changes)))
+    with pytest.raises(config.ConfigError, match=what):
+        config.load(str(path), {})
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,185 @@
+"""The program itself: started as its operators do, and spoken to over loopback sockets."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+
+import pytest
+from helpers import Program, listing, row, told
+
+
+@pytest.fixture
+def start(tmp_path):
+    programs = []
+
+    def build(**changes):
+        programs.append(Program(tmp_path, **changes))
+        return programs[-1]
+    yield build
+    for program in programs:
+        program.end()
+
+
+def ready(program, slices=8):
+    """Discovery has answered, all that stands has been told, and the sign of life is given."""
+    discovery = program.accepted(program.discovery)
+    discovery.answer(listing())
+    news = program.called("/stream")
+    news.stream()
+    news.tell(*program.stands(slices), ())
+    client = program.dial()
+    client.send(b'{"msg":"probe"}\n')
+    assert json.loads(client.until(b"\n")) == {"msg": "alive"}
+    return discovery, news, client
+
+
+def moves(call, slices):
+    """Slices that a call takes off s1, and those that it puts elsewhere."""
+    sets = [told for told in call.orders if told["op"] == "SET"]
+    return ({told["table"] for told in sets if told["target"] == "s1" and told["rps"] == 0},
+            {told["table"] for told in sets if told["target"] != "s1" and told["rps"] > 0})
+
+
+def drained(discovery, piece=None):
+    """Discovery tells that s1 drains, on the watch that is open."""
+    discovery.request()
+    discovery.answer(listing(0, 2, False, endpoints=[row(1, "draining")]), piece=piece)
+
+
+@pytest.mark.parametrize("piece", [1, 100_000])
+def test_a_drain_becomes_one_call_that_moves_its_slices(start, piece):
+    program = start()
+    discovery, news, _ = ready(program)
+    news.tell(("ack", {"id": 1, "seq": 1, "ms": 3.0}), piece=piece)
+    drained(discovery, piece)
+    call = program.called("/batches")
+    assert moves(call, 8) == ({1, 5}, {1, 5})
+    assert call.orders[0] == {"op": "OUT", "target": "s1"} and call.orders[-1]["op"] == "SYNC"
+    call.answer({"taken": len(call.orders)}, piece=piece)
+
+
+@pytest.mark.parametrize("spoil", [
+    lambda call: call.reset(), lambda call: call.answer(b"{"), lambda call: call.send(b"what?\r\n\r\n"),
+    lambda call: None], ids=["reset", "half an answer", "garbage", "silence"])
+@pytest.mark.parametrize("carried", [True, False])
+def test_a_spoilt_call_is_settled_by_the_store(start, spoil, carried):
+    program = start()
+    discovery, news, _ = ready(program)
+    drained(discovery)
+    call = program.called("/batches")
+    targets = {told["table"]: told["target"] for told in call.orders if told.get("rps")}
+    spoil(call)
+    again = program.called("/stream")
+    again.stream()
+    items = program.stands(server=lambda n: targets.get(n, f"s{n % 4}")[1:] if carried else n % 4)
+    again.tell(*[("hello", it | {"new": False}) if kind == "hello" else (kind, it) for kind, it in items], ())
+    if carried:  # nothing is ordered again: the next call is for the next drain
+        discovery.request()
+        discovery.answer(listing(0, 3, False, endpoints=[row(2, "draining")]))
+    second = program.called("/batches")
+    assert ({"op": "OUT", "target": "s1"} in second.orders) != carried
+    assert (moves(second, 8)[0] == {1, 5}) != carried
+
+
+def test_a_call_refused_for_now_and_a_short_answer_lose_no_order(start):
+    program = start()
+    discovery, _, _ = ready(program)
+    drained(discovery)
+    call = program.called("/batches")
+    call.answer({"error": "BUSY"}, "429 Too Many Requests")
+    second = program.called("/batches")
+    assert sorted(map(str, second.orders)) == sorted(map(str, call.orders))
+    second.answer({"taken": 1})
+    assert program.called("/batches").orders == second.orders[2:]
+
+
+def test_news_that_break_go_on_and_a_lost_slice_is_left_alone(start):
+    program = start()
+    discovery, news, _ = ready(program)
+    news.reset()
+    again = program.called("/stream")
+    again.stream()
+    again.tell(*[item for item in program.stands() if item[1].get("range") != 5], ())
+    program.logged("news: lost")
+    program.logged("news: told")
+    drained(discovery)
+    assert moves(program.called("/batches"), 8) == ({1}, {1})
+
+
+def test_discovery_silent_then_anew_with_a_lower_index(start):
+    program = start()
+    discovery, _, _ = ready(program)
+    discovery.request()  # never answered: given up, and asked again on a fresh connection
+    again = program.accepted(program.discovery)
+    assert "after=1&" in again.path
+    again.reset()
+    third = program.accepted(program.discovery)
+    third.answer(listing(0, 0, endpoints=[row(0), row(1, "draining"), row(2), row(3)]))
+    assert moves(program.called("/batches"), 8) == ({1, 5}, {1, 5})
+
+
+def test_strangers_and_a_line_of_two_mebibytes_do_not_keep_collectors_out(start):
+    program = start()
+    _, _, client = ready(program)
+    for _ in range(300):
+        program.dial()
+    program.logged("too many")
+    collector = program.dial()
+    collector.send(b'{"msg":"agent","site":"north"}\n' + b'{"msg":"probe"}\n')
+    assert collector.until(b"\n")
+    other = program.dial()
+    other.send(b'{"msg":"agent","site":"south"}\n')
+    with pytest.raises((ConnectionError, EOFError)):
+        other.send(b"x" * (2 << 20), 1 << 16)
+        other.until(b"\n")
+    collector.send(b'{"msg":"probe"}\n')
+    assert collector.until(b"\n")
+
+
+@pytest.mark.parametrize("sign", [signal.SIGTERM, signal.SIGINT])
+def test_a_signal_ends_it_cleanly(start, sign):
+    program = start()
+    ready(program)
+    program.process.send_signal(sign)
+    assert program.process.wait(30) == 0
+
+
+def test_killed_and_started_again_it_takes_up_what_stands(start):
+    program = start()
+    ready(program)
+    program.process.kill()
+    program.process.wait()
+    program.process.stdout.close()
+    program.start()
+    discovery, _, _ = ready(program)
+    drained(discovery)
+    assert moves(program.called("/batches"), 8) == ({1, 5}, {1, 5})
+
+
+def test_a_log_that_nobody_reads_does_not_stop_it(start):
+    program = start()
+    discovery, _, client = ready(program)
+    program.process.stdout.close()
+    drained(discovery)
+    call = program.called("/batches")
+    call.answer({"taken": len(call.orders)})
+    client.send(b'{"msg":"probe"}\n')
+    assert client.until(b"\n")
+
+
+@pytest.mark.parametrize("arguments, changes, status, words", [
+    (["check-config"], {}, 0, "p0: 8 slices, 3 proxies, 2 operations; listens at 127.0.0.1:0"),
+    (["check-config"], {"listen": 7}, 2, "flintreach: "),
+    (["serve"], {"settings": []}, 2, "flintreach: "),
+    (["serve", "--config", "nowhere.json"], {}, 2, "flintreach: nowhere.json: No such file or directory"),
+    (["version"], {}, 0, "0."),
+])
+def test_commands_say_in_one_line_what_is_wrong(tmp_path, arguments, changes, status, words):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(told(**changes)))
+    ran = subprocess.run([sys.executable, "-m", "flintreach", *arguments], capture_output=True, text=True,
+                         env=os.environ | {"PROXY_CONFIG": str(path)}, timeout=60)
+    assert ran.returncode == status and "Traceback" not in ran.stderr
+    assert (ran.stdout + ran.stderr).startswith(words) and (ran.stdout + ran.stderr).count("\n") == 1
