A mark unanswered for ten seconds counts as answered: one lost would hold the channel

Answers are lost with the news connection that brings them. What such a mark carried counted as waiting until a later mark was answered, and where it filled the room no later one was sent: ordinary orders for ever, drains too above 62% of the limit. Checked by a case that loses one drain's marks: the server keeps its slices for good before, none after ten seconds.

--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -41,6 +41,7 @@
 BEARS_DOWN, BEARS_UP, BEARS_LEAST = 0.8, 0.05, 0.5  # how a crowded server's quota falls and comes back
 LEVEL_DOWN, LEVEL_UP, LEVEL_LEAST = 0.4, 0.2, 0.05  # how levels fall at the most, and come back
 QUIET = {"queue": 1, "util": 0.8}  # reports below which late answers are not a server's own load
+LOST = 10 * SECOND  # then a mark counts as answered: one lost with the news would hold the channel for ever
 HOLD = 2 * SECOND  # between two falls of a quota or a level, so that the sums can show the first
 ROOM = 0.5, 0.55, 0.62  # parts of the channel's limit to fill: with what can wait, bad health, and drains
 
@@ -177,7 +178,7 @@
         self.whole = None if settings.slices else Unit(face.Slice(0))  # a site without slices has one table
         if self.whole:
             self.whole.ours, self.units[self.whole.slice] = True, self.whole
-        self.joined = {}  # proxy -> deque of (mark, lines) not yet applied
+        self.joined = {}  # proxy -> deque of (mark, lines, time) not yet applied
         self.shut = {}  # targets that joined proxies are told to keep away from, in order
         self.wake_at = self.judge_at = self.sent_at = self.marks = 0
         self.fleet, self.level = Target(None), 1.0  # as its middle server; the level that is in force
@@ -493,7 +494,7 @@
     def send(self):
         """Urgent orders first, then what the channel surely takes; removals lead, nothing is said twice."""
         limits, proxies = self.settings, len(self.joined)
-        waiting = sum(lines for marks in self.joined.values() for _, lines in marks)
+        waiting = sum(lines * (self.now < at + LOST) for row in self.joined.values() for _, lines, at in row)
         changed = [(self.urgent(unit), unit) for unit in self.units.values() if unit.ours
                    and (unit.want != unit.have or self.let_in(unit.want) != unit.level)]
         pace = limits.messages_window / max(1, limits.messages_most - 1) if limits.messages_most else 0
@@ -528,7 +529,7 @@
         self.marks = self.marks % 65535 + 1
         self.orders += [*lines, face.Mark(self.marks)]
         for marks in self.joined.values():
-            marks.append((self.marks, cost / proxies))
+            marks.append((self.marks, cost / proxies, self.now))
         self.sent_at = self.now
 
     def let_in(self, tgts):
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -244,6 +244,18 @@
     assert not fleet.shut
 
 
+def test_answers_lost_with_the_news_do_not_hold_the_channel_for_ever():
+    """The last marks stayed unanswered, so the lines of their orders seemed to wait and no order had room."""
+    fleet = Fleet(slices=60, proxies=10, channel_limit=400.0)
+    fleet.run(5)
+    fleet.say(fleet.roster(s1="gone"))
+    fleet.marks.clear()
+    fleet.run(5)
+    assert fleet.holds(fleet.servers[1])
+    fleet.run(30)
+    assert not fleet.holds(fleet.servers[1])
+
+
 def test_a_slice_taken_over_opens_the_server_that_it_is_on():
     """Another pilot had put it on a server that came back; still shut out here, the slice would be bare."""
     fleet = Fleet(slices=24)
