--- a/flintreach/net/buffer.py
+++ b/flintreach/net/buffer.py
@@ -26,6 +26,11 @@
     def __len__(self) -> int:
         return self.end - self.start
 
+    @property
+    def size(self) -> int:
+        """The memory that it takes, also where it is empty."""
+        return len(self.store)
+
     def put(self, data: bytes) -> None:
         held = len(self)
         if self.end + len(data) > len(self.store):
@@ -52,6 +57,8 @@
         self.check()
         if self.start == self.end:
             self.start = self.end = self.seen = 0
+            if self.size > self.most // 16:  # a long line must not keep its memory for ever
+                self.store = bytearray()
 
     def take(self) -> bytes:
         """All that is held."""
--- a/flintreach/net/clients.py
+++ b/flintreach/net/clients.py
@@ -15,6 +15,7 @@
     def __init__(self, clients: "Clients"):
         self.clients, self.service, self.transport = clients, clients.service, None
         self.zone, self.timer, self.buffer = None, None, Buffer(clients.service.limits.line)
+        self.held = 0
 
     def connection_made(self, transport) -> None:
         limits = self.service.limits
@@ -53,6 +54,7 @@
                 self.heard()
             if self.zone is None and len(self.buffer) > self.service.limits.stranger_line:
                 raise Overflow("a stranger's long line")
+            self.clients.weigh(self)
         except Overflow:
             self.drop("long line")
         except UNREADABLE:
@@ -112,7 +114,7 @@
 
 class Clients:
     def __init__(self, service):
-        self.service, self.open, self.waiting, self.paused = service, {}, [], []
+        self.service, self.open, self.waiting, self.paused, self.held = service, {}, [], [], 0
 
     def add(self, client: Client) -> None:
         """The stranger silent the longest makes room, or a collector: machines that vanished say nothing."""
@@ -122,8 +124,17 @@
             (strangers or list(self.open))[0].drop("too many")
         self.open[client] = None
 
+    def weigh(self, client: Client) -> None:
+        """Each may send a long line, but all at once would take more memory than there is."""
+        self.held += client.buffer.size - client.held
+        client.held = client.buffer.size
+        if self.held > self.service.limits.held:
+            raise Overflow("all buffers together")
+
     def remove(self, client: Client) -> None:
-        self.open.pop(client, None)
+        if client in self.open:
+            del self.open[client]
+            self.held -= client.held
 
     def answer(self, client: Client) -> None:
         if self.service.ready:
--- a/flintreach/net/limits.py
+++ b/flintreach/net/limits.py
@@ -16,10 +16,12 @@
     stranger_time: int = 10 * SECOND  # to name a zone or ask for a sign of life
     unread: int = 64 << 10  # bytes that a client may leave unread
     body: int = 8 << 20  # bytes of an answer
+    held: int = 48 << 20  # bytes that the buffers of all clients may take
+    slow_turn: int = 250 * MS  # of the loop, from which it is worth a log line
     events: int = 20_000  # gathered in one turn; then clients are not read until it is over
     figure: float = 1e9  # the largest that a report may hold
     call_bytes: int = 60_000  # of orders in one call
-    call_wait: int = 150 * MS  # for a call's answer
+    call_wait: int = 300 * MS  # for a call's answer
     dial_wait: int = 400 * MS
     grace: int = 20 * MS  # to read what came during a stall, before a time limit counts
     retry_first: int = 20 * MS  # first pause after a failure; doubles to the longest
@@ -35,11 +37,13 @@
 
     @classmethod
     def of(cls, told: dict) -> "Limits":
-        """By the descriptors allowed: half for clients, the rest for probes and our own calls.
+        """By what is allowed: half of the descriptors for clients, the rest for probes and our own calls;
+        a quarter of the memory for what clients have sent in part, a sixteenth for an answer.
 
-        >>> Limits.of({"sockets": 100}).clients
+        >>> Limits.of({"sockets": 100, "memory_mb": 64}).clients
         50
         """
-        sockets = int(told.get("sockets", 1024))
+        sockets, memory = int(told.get("sockets", 1024)), int(told.get("memory_mb", 192)) << 20
         part = min(64, sockets // 8)
-        return cls(clients=min(256, sockets // 2), strangers=part, probes=part)
+        return cls(clients=min(256, sockets // 2), strangers=part, probes=part, held=memory // 4,
+                   body=min(8 << 20, memory // 16))
--- a/flintreach/net/relay.py
+++ b/flintreach/net/relay.py
@@ -191,18 +191,25 @@
         try:
             self.buffer.put(data)
             for line in self.buffer.lines():
-                self.item(json.loads(line))
-        except (Overflow, *UNREADABLE) as error:
+                message = json.loads(line)
+                if not isinstance(message, dict):
+                    raise ValueError("not an object")
+                self.item(message)
+        except (Overflow, ValueError, RecursionError) as error:
             self.lost(f"unreadable: {type(error).__name__}")
 
     def item(self, message: dict) -> None:
-        kind, told = message.get("type"), message.get("object")
+        kind = message.get("type")
         if kind != "line":
             self.granted()
         if not message:
             return self.news.opened(self)
-        if kind in KINDS:
-            KINDS[kind](self, told)
+        try:
+            KINDS.get(kind, Feed.passed)(self, message.get("object"))
+        except UNREADABLE:
+            # One proxy or slice that is not in our settings: told again by every new connection, it would
+            # cost us the news of all the others.
+            self.service.count(f"news not understood: {kind}")
 
     def granted(self) -> None:
         """A slice's lines follow it; it counts as given once something else comes, or nothing for a while."""
@@ -215,6 +222,9 @@
 
     # One method a kind of news.
 
+    def passed(self, told: object) -> None:
+        """Kinds of later versions are passed over."""
+
     def hello(self, told: dict) -> None:
         proxy = self.service.proxy(told["id"])
         proxy.zone, proxy.rate = self.service.zones[told["site"]], float(figure(told.get("rps", 0)))
--- a/flintreach/net/service.py
+++ b/flintreach/net/service.py
@@ -61,7 +61,10 @@
         except Exception:
             self.log.error("the decisions failed", trace=traceback.format_exc())
             return self.stop(1)
-        self.turns, self.longest = self.turns + 1, max(self.longest, self.clock.now() - began)
+        took = self.clock.now() - began
+        self.turns, self.longest = self.turns + 1, max(self.longest, took)
+        if took > self.limits.slow_turn:
+            self.count("slow turn")
         self.clients.resume()
 
     def carry(self, orders: list) -> None:
@@ -71,7 +74,7 @@
         for order in orders:
             match order:
                 case face.Wake(at, label):
-                    self.clock.after(at - self.clock.now(), lambda label=label: self.event(face.Woke(label)))
+                    self.wake(at, label)
                 case face.Log(text):
                     self.log.info(text)
                 case face.Probe(server) if self.settings.probes:
@@ -85,6 +88,14 @@
                 case _ if not isinstance(order, RELAYED):
                     self.log.error("an order that this protocol can't carry", order=type(order).__name__)
 
+    def wake(self, at: int, label: int) -> None:
+        """Never early: the loop rounds its times, and decisions woken too soon ask for no other wake."""
+        wait = at - self.clock.now()
+        if wait > 0:
+            self.clock.after(wait, lambda: self.wake(at, label))
+        else:
+            self.event(face.Woke(label))
+
     # Log.
 
     def mode(self, what: str, now: str, figures: str = "") -> None:
