--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -523,6 +523,14 @@
     assert [event.label for event in service.pilot.seen] == [1, 5]
 
 
+def test_a_timer_that_fires_early_wakes_nobody(make):
+    """The loop rounds to milliseconds; decisions woken too soon would never ask for another wake."""
+    service = make()
+    service.carry([face.Wake(service.clock.now() + 60 * SECOND, 5)])
+    service.loop.run(300)  # the loop's time runs ahead of the clock
+    assert not service.gathered and not service.pilot.seen and not service.loop.due[-1].off
+
+
 def test_a_failure_of_the_decisions_ends_the_process_with_its_trace(make):
     service = make()
     service.pilot.handle = lambda now, events: 1 // 0
