A call in hand while news open is no change by others; descriptors shared out in quarters

Found by reading: a slice whose call was under way when news opened anew compared unlike what was ordered, and would have been given again, its measures lost (News.given); a case plays it. A burst of connections could take as many descriptors again as clients may hold, since the backlog was a number of its own (Service.start).

--- a/flintreach/net/limits.py
+++ b/flintreach/net/limits.py
@@ -37,13 +37,13 @@
 
     @classmethod
     def of(cls, told: dict) -> "Limits":
-        """By what is allowed: half of the descriptors for clients, the rest for probes and our own calls;
+        """By what is allowed: a quarter of the descriptors for clients, and one for those not yet taken in;
         a quarter of the memory for what clients have sent in part, a sixteenth for an answer.
 
         >>> Limits.of({"sockets": 100, "memory_mb": 64}).clients
-        50
+        25
         """
         sockets, memory = int(told.get("sockets", 1024)), int(told.get("memory_mb", 192)) << 20
         part = min(64, sockets // 8)
-        return cls(clients=min(256, sockets // 2), strangers=part, probes=part, held=memory // 4,
+        return cls(clients=min(256, sockets // 4), strangers=part, probes=part, held=memory // 4,
                    body=min(8 << 20, memory // 16))
--- a/flintreach/net/relay.py
+++ b/flintreach/net/relay.py
@@ -143,9 +143,9 @@
         self.step("due")
         self.push()
 
-    def doubtful(self) -> set[int]:
-        """Slices whose lines tell whether the call in doubt was carried out."""
-        return {key[1] for key in self.flight if key[0] == "line"} if self.state == "doubt" else set()
+    def touched(self) -> set[int]:
+        """Slices whose lines tell whether the call in hand was carried out."""
+        return {key[1] for key in self.flight if key[0] == "line"}
 
     def settle(self, tables: dict[int, dict[str, float]]) -> None:
         """By the lines that the store holds; a call is carried out whole or not at all."""
@@ -304,7 +304,8 @@
 
     def settle(self, whole: bool) -> None:
         calls = self.service.calls
-        if calls.state == "doubt" and (whole or calls.doubtful() and calls.doubtful() <= self.stands.keys()):
+        touched = calls.touched()
+        if calls.state == "doubt" and (whole or touched and touched <= self.stands.keys()):
             calls.settle(self.stands)
 
     def hello(self, proxy: face.Proxy, fresh: bool) -> None:
@@ -321,11 +322,11 @@
             self.service.event(face.Left(proxy))
 
     def given(self, feed: Feed, number: int, table: dict[str, float]) -> None:
-        doubtful = number in self.service.calls.doubtful()
         if feed is self.new:
             self.stands[number] = table
-        # Known and as it was ordered: told again, its measures would be lost.
-        if not self.new or number not in self.tables or not doubtful and self.tables[number] != table:
+        # Known, and as ordered or as a call in hand may leave it: told again, it would lose its measures.
+        known = self.new and number in self.tables
+        if not known or self.tables[number] != table and number not in self.service.calls.touched():
             piece = self.service.registry.slices[number]
             self.service.event(face.Given(piece, True))
             for name, weight in table.items():
--- a/flintreach/net/service.py
+++ b/flintreach/net/service.py
@@ -124,7 +124,8 @@
         self.gathered += known or [face.Roster("cached", [])]
         self.turn()
         host, port = address(config.listen)
-        self.server = await self.loop.create_server(lambda: Client(self.clients), host, port, backlog=512)
+        self.server = await self.loop.create_server(lambda: Client(self.clients), host, port,
+                                                    backlog=self.limits.clients)
         if config.peer_listen:
             self.pilots = Pilots(self, config.peers, config.peers_all)
             await self.loop.create_datagram_endpoint(lambda: self.pilots, address(config.peer_listen))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -327,6 +327,17 @@
     assert old.state == "closed" and seen(service) == []
 
 
+def test_a_call_in_hand_while_news_open_is_no_change_by_others(make):
+    service = make()
+    joined(service).end("broken")
+    service.loop.run(1)
+    order(service, put(service, 1, "s0", 0), put(service, 1, "s3"))
+    Wire.made[-2].tell(*[(kind, it | {"target": "s3"} if kind == "line" and it["range"] == 1 else it)
+                         for kind, it in stands()], ())
+    calls()[0].end(body={"taken": 3})
+    assert seen(service) == [] and service.news.tables[1] == {"s3": 1.0}
+
+
 def test_a_connection_that_opened_before_the_doubt_does_not_settle_it(make):
     service = make()
     joined(service).end("broken")
