--- a/flintreach/net/relay.py
+++ b/flintreach/net/relay.py
@@ -209,7 +209,7 @@
         except UNREADABLE:
             # One proxy or slice that is not in our settings: told again by every new connection, it would
             # cost us the news of all the others.
-            self.service.count(f"news not understood: {kind}")
+            self.service.count("news not understood")
 
     def granted(self) -> None:
         """A slice's lines follow it; it counts as given once something else comes, or nothing for a while."""
--- a/flintreach/net/service.py
+++ b/flintreach/net/service.py
@@ -57,7 +57,6 @@
         began = self.clock.now()
         try:
             orders = self.pilot.handle(began, events)
-            self.carry(orders)
         except Exception:
             self.log.error("the decisions failed", trace=traceback.format_exc())
             return self.stop(1)
@@ -66,6 +65,7 @@
         if took > self.limits.slow_turn:
             self.count("slow turn")
         self.clients.resume()
+        self.carry(orders)
 
     def carry(self, orders: list) -> None:
         relayed = [order for order in orders if isinstance(order, RELAYED)]
