A client's states stand in a table; bounds of probe reports come from the limits

No behaviour changed but one: what a dropped client still held no longer counts against all buffers (it did when its answer went unread in the same turn; found by reading).

--- a/flintreach/net/clients.py
+++ b/flintreach/net/clients.py
@@ -10,37 +10,51 @@
 
 ALIVE = b'{"msg":"alive"}\n'
 
+# State, input, next state, and what is counted.  A pair that is not here changes nothing.
+STATES = {
+    ("stranger", "named"): ("collector", None),
+    ("stranger", "silent"): ("dropped", "silent stranger"),
+    ("stranger", "malformed"): ("dropped", "malformed line"),
+    ("stranger", "long"): ("dropped", "long line"),
+    ("stranger", "unread"): ("dropped", "reads nothing"),
+    ("stranger", "crowded"): ("dropped", "too many"),
+    ("collector", "malformed"): ("dropped", "malformed line"),
+    ("collector", "long"): ("dropped", "long line"),
+    ("collector", "unread"): ("dropped", "reads nothing"),
+    ("collector", "crowded"): ("dropped", "too many"),
+}
+
 
 class Client(asyncio.Protocol):
     def __init__(self, clients: "Clients"):
         self.clients, self.service, self.transport = clients, clients.service, None
-        self.zone, self.timer, self.buffer = None, None, Buffer(clients.service.limits.line)
-        self.held = 0
+        self.state, self.timer, self.held = "stranger", None, 0
+        self.buffer = Buffer(self.service.limits.line)
 
     def connection_made(self, transport) -> None:
-        limits = self.service.limits
         self.transport = transport
-        transport.set_write_buffer_limits(high=limits.unread)
-        self.timer = self.service.clock.limit(limits.stranger_time, lambda: self.drop("silent stranger"))
+        transport.set_write_buffer_limits(high=self.service.limits.unread)
+        self.bear()
         self.clients.add(self)
 
-    def heard(self) -> None:
-        """Those that have been silent the longest are dropped first; a stranger that asks may go on."""
-        if self not in self.clients.open:  # dropped meanwhile
-            return
-        self.clients.open[self] = self.clients.open.pop(self)
-        if self.zone is None:
+    def bear(self) -> None:
+        """A stranger is borne for a while, and anew each time that it asks something."""
+        if self.timer:
             self.timer.cancel()
-            self.timer = self.service.clock.limit(self.service.limits.stranger_time,
-                                                  lambda: self.drop("silent stranger"))
+        self.timer = self.service.clock.limit(self.service.limits.stranger_time, lambda: self.step("silent"))
 
-    def drop(self, why: str) -> None:
-        self.service.count(f"client dropped: {why}")
-        self.clients.remove(self)  # at once: its end is heard of only after others have come
-        self.transport.abort()
+    def step(self, what: str) -> None:
+        state, why = STATES.get((self.state, what), (self.state, None))
+        if state != self.state:
+            self.state = state
+            self.timer.cancel()
+        if why:
+            self.service.count(f"client dropped: {why}")
+            self.clients.remove(self)  # at once: its end is heard of only after others have come
+            self.transport.abort()
 
     def pause_writing(self) -> None:
-        self.drop("reads nothing")
+        self.step("unread")
 
     def connection_lost(self, error) -> None:
         self.timer.cancel()
@@ -51,14 +65,13 @@
             self.buffer.put(data)
             for line in self.buffer.lines():
                 self.take(json.loads(line))
-                self.heard()
-            if self.zone is None and len(self.buffer) > self.service.limits.stranger_line:
+            self.clients.heard(self)
+            if self.state == "stranger" and len(self.buffer) > self.service.limits.stranger_line:
                 raise Overflow("a stranger's long line")
-            self.clients.weigh(self)
         except Overflow:
-            self.drop("long line")
+            self.step("long")
         except UNREADABLE:
-            self.drop("malformed line")
+            self.step("malformed")
         if self.service.full() and not self.transport.is_closing():
             self.transport.pause_reading()
             self.clients.paused.append(self)
@@ -69,6 +82,8 @@
         what = KINDS.get(message["msg"])
         if what:
             what(self, message)
+        if self.state == "stranger":
+            self.bear()
 
     # One method a kind of message.
 
@@ -76,8 +91,8 @@
         self.clients.answer(self)
 
     def agent(self, message: dict) -> None:
-        self.zone = self.service.zones[message["site"]]
-        self.timer.cancel()
+        self.service.zones[message["site"]]  # the zone of sums stands in each; here it makes a collector
+        self.step("named")
 
     def tries(self, message: dict) -> tuple[int, int, int]:
         # What came in one period may go unanswered in the next: more may fail than came.
@@ -119,13 +134,17 @@
     def add(self, client: Client) -> None:
         """The stranger silent the longest makes room, or a collector: machines that vanished say nothing."""
         limits = self.service.limits
-        strangers = [one for one in self.open if one.zone is None]
+        strangers = [one for one in self.open if one.state == "stranger"]
         if len(strangers) >= limits.strangers or len(self.open) >= limits.clients:
-            (strangers or list(self.open))[0].drop("too many")
+            (strangers or list(self.open))[0].step("crowded")
         self.open[client] = None
 
-    def weigh(self, client: Client) -> None:
-        """Each may send a long line, but all at once would take more memory than there is."""
+    def heard(self, client: Client) -> None:
+        """Those silent the longest are dropped first; and each may send a long line, but all at once would
+        take more memory than there is."""
+        if client.state == "dropped":
+            return
+        self.open[client] = self.open.pop(client)
         self.held += client.buffer.size - client.held
         client.held = client.buffer.size
         if self.held > self.service.limits.held:
--- a/flintreach/net/servers.py
+++ b/flintreach/net/servers.py
@@ -2,13 +2,14 @@
 
 from flintreach import interface as face
 from flintreach.net.http import Connection
+from flintreach.net.reading import figure
 
 STATUSES = {"unsent": "connect_failed", "broken": "reset", "silent": "timeout", "garbled": "error"}
 
 
-def report(text: str, names: tuple[str, ...], known: dict[str, str]) -> dict[str, float]:
+def report(text: str, names: tuple[str, ...], known: dict[str, str], most: float) -> dict[str, float]:
     """
-    >>> report("cpu=0.61,waiting=2,odd=x", ("util",), {"cpu": "util", "waiting": "queue"})
+    >>> report("cpu=0.61,waiting=x,odd=2", ("util", "queue"), {"cpu": "util", "waiting": "queue"}, 9.0)
     {'util': 0.61}
     """
     found = {}
@@ -16,8 +17,8 @@
         name, _, value = part.partition("=")
         name = known.get(name, name)
         try:
-            if name in names and 0 <= float(value) < 1e9:
-                found[name] = float(value)
+            if name in names:
+                found[name] = figure(float(value), most)
         except ValueError:
             continue
     return found
@@ -37,7 +38,8 @@
             self.open.discard(connection)
             connection.close()
             said = {200: "ok", 503: "full"}.get(status, "error") if how == "answered" else STATUSES[how]
-            load = report(body.decode("ascii", "replace"), fields, self.service.loads) if said == "ok" else {}
+            text = body.decode("ascii", "replace") if said == "ok" else ""
+            load = report(text, fields, self.service.loads, limits.figure)
             self.service.event(face.Probed(server, said, clock.now() - began, load))
 
         connection = Connection(clock, limits, self.addresses[server], done)
