Orders of before a slice was given anew are dropped from a call in doubt too

Found by reading, shown by a case that failed before: a call in doubt kept its orders for a slice that was withdrawn and given again meanwhile; made again, they would have parted the store's table from what the decisions had just read of it, and nothing would have set that right (Calls.forget, News.given). News count as lost only while no connection brings them.

--- a/flintreach/net/relay.py
+++ b/flintreach/net/relay.py
@@ -66,9 +66,15 @@
         self.push()
 
     def forget(self, piece: int) -> None:
-        """Orders for a slice that is no longer ours change nothing and cost bytes."""
-        self.waiting = {k: v for k, v in self.waiting.items()
-                        if k[0] not in ("line", "table", "level") or k[1] != piece}
+        """A slice is withdrawn or given anew: carried out after that, older orders would part its table from
+        what the decisions have read of it."""
+        def kept(orders: dict) -> dict:
+            return {key: told for key, told in orders.items()
+                    if key[0] not in ("line", "table", "level") or key[1] != piece}
+
+        self.waiting = kept(self.waiting)
+        if self.state == "doubt":
+            self.flight = kept(self.flight)
 
     def push(self) -> None:
         if self.state != "free" or not self.waiting:
@@ -282,7 +288,8 @@
             self.new = None
         else:
             return
-        self.service.mode("news", "lost", why)
+        if not self.feed:  # else the old connection still brings them
+            self.service.mode("news", "lost", why)
         self.failures += 1
         limits = self.service.limits
         pause = self.service.clock.backoff(self.failures, limits.retry_first, limits.retry_longest)
@@ -328,6 +335,7 @@
         known = self.new and number in self.tables
         if not known or self.tables[number] != table and number not in self.service.calls.touched():
             piece = self.service.registry.slices[number]
+            self.service.calls.forget(number)
             self.service.event(face.Given(piece, True))
             for name, weight in table.items():
                 self.service.event(face.Held(piece, self.service.registry.server(name), weight))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -349,6 +349,24 @@
     assert early.state == "closed" and Wire.made[-1] is not early and service.calls.state == "doubt"
 
 
+@pytest.mark.parametrize("end, status, body", [
+    ("answered", 429, {"error": "BUSY"}), ("broken", 0, b"")])
+def test_orders_of_before_a_slice_was_given_anew_are_dropped(make, end, status, body):
+    """The decisions have read its table again by then; what they ordered before would part the two for good."""
+    service = make()
+    news = joined(service)
+    order(service, put(service, 1, "s3"), put(service, 2, "s3"))
+    calls()[0].end(end, status, body)
+    again = [("lease", {"range": 1, "flag": False}), ("lease", {"range": 1, "flag": True}),
+             ("line", {"range": 1, "target": "s2", "rps": 1.0}), ()]
+    news.tell(*again)
+    if end == "broken":
+        Wire.made[-1].tell(*[item for item in stands() if item[1].get("range") != 1], *again[1:])
+    service.loop.run(1)
+    assert [told.get("table", told["op"]) for told in calls()[1].orders] == [2, "SYNC"]
+    assert seen(service) == [("given", 1, False), ("given", 1, True), ("held", 1, "s2", 1.0)]
+
+
 def test_a_call_that_never_left_is_made_again_soon(make):
     service = make()
     joined(service)
