--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -352,7 +352,7 @@
 @pytest.mark.parametrize("end, status, body", [
     ("answered", 429, {"error": "BUSY"}), ("broken", 0, b"")])
 def test_orders_of_before_a_slice_was_given_anew_are_dropped(make, end, status, body):
-    """The decisions have read its table again by then; what they ordered before would part the two for good."""
+    """The decisions have read its table again by then; what they ordered before would part the two."""
     service = make()
     news = joined(service)
     order(service, put(service, 1, "s3"), put(service, 2, "s3"))
