--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -507,10 +507,11 @@
     (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n",
      ("answered", 200, b"hello")),
     (b"SMTP ready\r\n", ("garbled", 0, b"")),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + b"\n" * 70000, ("garbled", 0, b"")),
 ])
 @pytest.mark.parametrize("size", [1, 1000])
 def test_answers_are_read_across_any_pieces(make, data, end, size):
-    service, ends = make(), []
+    service, ends = make(limits={"memory_mb": 1, "sockets": 64}), []
     service.loop.create_task = lambda task: task.close()
     connection = Socketless(service.clock, service.limits, "127.0.0.1:9", lambda *told: ends.append(told))
     connection.call("GET", "/x", SECOND)
