--- a/flintreach/net/http.py
+++ b/flintreach/net/http.py
@@ -79,8 +79,8 @@
         elif state == "closed":
             self.shut()
         if end:
-            status = self.parser.get_status_code() if end == "answered" else 0
-            self.done(end, status, self.buffer.take() if not self.piece else b"")
+            status, body = (self.parser.get_status_code() if end == "answered" else 0), self.buffer.take()
+            self.done(end, status, body if status else b"")  # part of a body is no answer
 
     def close(self) -> None:
         """Nothing more is heard of it."""
