--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -82,15 +82,17 @@
 
 SUMS = {"msg": "outcomes", "site": "south", "target": "s1", "count": 9, "fail": 1, "mean": 41.5,
         "over": 1000.0, "util": {"cpu": 0.5, "waiting": 2, "odd": 1}}
+DEMAND = {"msg": "demand", "id": 2, "lane": "look", "count": 5, "over": 1000.0}
 HOT = {"msg": "hot", "range": 3, "lane": "book", "count": 4, "fail": 6, "over": 500.0}
 
 
 def test_sums_become_events_across_pieces_of_one_byte(make):
     service = make()
-    rows = SUMS, HOT, SUMS | {"target": "unheard-of"}
+    rows = SUMS, HOT, SUMS | {"target": "unheard-of"}, DEMAND
     text = b"".join(json.dumps(line).encode() + b"\n" for line in rows)
     connect(service, b'{"msg":"agent","site":"south"}\n', *[bytes([byte]) for byte in text])
-    heard, demand = service.gathered
+    heard, demand, usage = service.gathered
+    assert (usage.slice, usage.proxy.number, usage.tries) == (None, 2, 5)
     assert (heard.zone, heard.server.name, heard.tries, heard.unanswered) == (1, "s1", 9, 1)
     assert (heard.latency, heard.span, heard.load) == (41_500_000, SECOND, {"util": 0.5, "queue": 2})
     # What came a period before may fail in this one: more fail than came.
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -7,7 +7,7 @@
 import sys
 
 import pytest
-from helpers import Program, listing, row, told
+from helpers import Peer, Program, listing, row, told
 
 
 @pytest.fixture
@@ -79,6 +79,20 @@
     assert (moves(second, 8)[0] == {1, 5}) != carried
 
 
+def test_a_call_reset_before_its_last_byte_is_made_again(start):
+    program = start()
+    ready(program)
+    drained(program)
+    peer = Peer(program.relay.accept()[0])
+    peer.sock.recv(20)
+    peer.reset()
+    again = program.called("/stream")
+    again.stream()
+    again.tell(*[(kind, it | {"new": False} if kind == "hello" else it) for kind, it in program.stands()], ())
+    second = program.called("/batches")
+    assert moves(second, 8) == ({1, 5}, {1, 5}) and {"op": "OUT", "target": "s1"} in second.orders
+
+
 def test_a_call_refused_for_now_and_a_short_answer_lose_no_order(start):
     program = start()
     ready(program)
