One retry, one reader of JSON lines, one encoding of orders; dead state goes

Tidy-up after a last reading; behaviour stays: - the pause before a new try stood in roster, calls and news: Clock.retry; - clients and news each read lines, JSON and the check for an object: reading.objects; - an order was encoded once to be measured and once to be sent (Calls.push); - Calls' table had a row that nothing stepped to; Feed kept a dict for the one slice that is being told; Service.kinds was read by nobody; Roster.read gives an event in place of a list of one or none; - two comments in the limits named other things than they bound; the tests' two lists of what stands are one. A news line whose slice is null is passed over as any other slice that is not being told; it was counted.

--- a/flintreach/net/clients.py
+++ b/flintreach/net/clients.py
@@ -1,12 +1,11 @@
 """All that connects to us: collectors with their sums, questions whether we live, and strangers."""
 
 import asyncio
-import json
 
 from flintreach import interface as face
 from flintreach.net.buffer import Buffer, Overflow
 from flintreach.net.limits import MS
-from flintreach.net.reading import UNREADABLE, figure
+from flintreach.net.reading import UNREADABLE, figure, objects
 
 ALIVE = b'{"msg":"alive"}\n'
 
@@ -63,8 +62,8 @@
     def data_received(self, data: bytes) -> None:
         try:
             self.buffer.put(data)
-            for line in self.buffer.lines():
-                self.take(json.loads(line))
+            for message in objects(self.buffer):
+                self.take(message)
             self.clients.heard(self)
             if self.state == "stranger" and len(self.buffer) > self.service.limits.stranger_line:
                 raise Overflow("a stranger's long line")
@@ -77,8 +76,6 @@
             self.clients.paused.append(self)
 
     def take(self, message: dict) -> None:
-        if not isinstance(message, dict):
-            raise ValueError("not an object")
         what = KINDS.get(message["msg"])
         if what:
             what(self, message)
--- a/flintreach/net/clock.py
+++ b/flintreach/net/clock.py
@@ -6,13 +6,14 @@
 from collections.abc import Callable
 
 from flintreach.interface import SECOND
+from flintreach.net.limits import Limits
 
 
 class Clock:
     """The Unix clock at the start, carried on by the monotonic one: it never runs back."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, seed: int, grace: int):
-        self.loop, self.seed, self.grace, self.counter = loop, seed, grace, 0
+    def __init__(self, loop: asyncio.AbstractEventLoop, seed: int, limits: Limits):
+        self.loop, self.seed, self.limits, self.counter = loop, seed, limits, 0
         self.base = time.time_ns() - time.monotonic_ns()
 
     def now(self) -> int:
@@ -23,15 +24,16 @@
 
     def limit(self, wait: int, do: Callable[[], None]) -> "Timer":
         """Time is up only when what came meanwhile has been read."""
-        return Timer(self.loop, wait, self.grace, do)
+        return Timer(self.loop, wait, self.limits.grace, do)
 
     def draw(self) -> float:
         self.counter += 1
         return zlib.crc32(b"%d %d" % (self.seed, self.counter)) / 2**32
 
-    def backoff(self, failures: int, first: int, longest: int) -> int:
-        """A pause after so many failures in a row, drawn from its upper half."""
-        return int(min(longest, first << min(failures, 20)) * (1 + self.draw()) / 2)
+    def retry(self, failures: int, do: Callable[[], None]) -> None:
+        """Once more after a pause, which doubles with the failures in a row; drawn from its upper half."""
+        pause = min(self.limits.retry_longest, self.limits.retry_first << min(failures, 20))
+        self.after(int(pause * (1 + self.draw()) / 2), do)
 
 
 class Timer:
--- a/flintreach/net/limits.py
+++ b/flintreach/net/limits.py
@@ -26,14 +26,14 @@
     grace: int = 20 * MS  # to read what came during a stall, before a time limit counts
     retry_first: int = 20 * MS  # first pause after a failure; doubles to the longest
     retry_longest: int = 640 * MS
-    settle: int = 100 * MS  # of quiet after which a new news connection has told what stands
+    settle: int = 100 * MS  # of quiet after which all lines of a slice have come
     silence: int = 2500 * MS  # without a sign of life, news count as dead
     watch: int = 2 * SECOND  # that discovery may hold a call
     watch_late: int = 500 * MS  # over that, the call is given up
     probe_wait: int = SECOND
     probes: int = 64  # at once
     datagram: int = 256
-    ready_wait: int = 2 * SECOND  # for discovery and news, before a sign of life is given without them
+    ready_wait: int = 2 * SECOND  # for discovery, before a sign of life is given without it
 
     @classmethod
     def of(cls, told: dict) -> "Limits":
--- a/flintreach/net/relay.py
+++ b/flintreach/net/relay.py
@@ -10,14 +10,13 @@
 from flintreach.net.buffer import Buffer, Overflow
 from flintreach.net.http import Connection
 from flintreach.net.limits import MS
-from flintreach.net.reading import UNREADABLE, figure
+from flintreach.net.reading import UNREADABLE, figure, objects
 
 # State of the calls, input, next state.  A pair that is not here changes nothing.
 STATES = {
     ("free", "call"): "calling",
     ("calling", "answered"): "free",
     ("calling", "turned back"): "paused",
-    ("calling", "unsent"): "paused",
     ("calling", "doubt"): "doubt",
     ("paused", "due"): "free",
     ("doubt", "settled"): "free",
@@ -82,15 +81,16 @@
         keys = list(self.waiting)
         if self.folded:  # several replies in one: removals and withdrawals first, the mark last
             keys.sort(key=lambda key: (key == ("mark",), self.waiting[key].get("rps", 0) > 0))
-        chosen, size = [], len(b'{"changes":[]}')
+        self.flight, texts, size = {}, [], len('{"changes":[]}')
         for key in keys:
-            size += len(json.dumps(self.waiting[key], separators=(",", ":"))) + 1
+            text = json.dumps(self.waiting[key], separators=(",", ":"))
+            size += len(text) + 1
             if size > self.service.limits.call_bytes:
                 break
-            chosen.append(key)
-        self.flight = {key: self.waiting.pop(key) for key in chosen}
+            texts.append(text)
+            self.flight[key] = self.waiting.pop(key)
         self.step("call")
-        body = json.dumps({"changes": list(self.flight.values())}, separators=(",", ":")).encode()
+        body = ('{"changes":[' + ",".join(texts) + "]}").encode()
         # A connection a call: a kept one may be closed by the relay just as a call is written to it, and
         # nobody would know whether it was carried out.
         limits = self.service.limits
@@ -116,13 +116,11 @@
         if taken is not None:
             self.taken(taken)
         elif error or how == "unsent":
-            self.step("unsent")
+            self.step("turned back")
             self.back(self.flight)
             self.failures += 1
-            limits = self.service.limits
-            pause = self.service.clock.backoff(self.failures, limits.retry_first, limits.retry_longest)
             self.service.mode("relay calls", "waiting", error or how)
-            self.service.clock.after(pause, self.due)
+            self.service.clock.retry(self.failures, self.due)
         else:
             self.step("doubt")
             self.service.mode("relay calls", "doubt", f"{how}, {len(self.flight)} orders")
@@ -173,8 +171,8 @@
         self.news, self.service = news, news.service
         limits, clock = self.service.limits, self.service.clock
         self.buffer = Buffer(limits.line)
-        self.proxies, self.tables = set(), {}
-        self.piece, self.timer = None, None  # the slice whose lines are coming
+        self.proxies, self.timer = set(), None
+        self.piece, self.table = None, {}  # the slice whose lines are coming, and what has come
         self.silence = clock.limit(limits.silence, lambda: self.lost("silent"))
         self.connection = Connection(clock, limits, self.service.store,
                                      lambda how, status, body: self.lost(how), self.take)
@@ -196,10 +194,7 @@
         self.silence = self.service.clock.limit(limits.silence, lambda: self.lost("silent"))
         try:
             self.buffer.put(data)
-            for line in self.buffer.lines():
-                message = json.loads(line)
-                if not isinstance(message, dict):
-                    raise ValueError("not an object")
+            for message in objects(self.buffer):
                 self.item(message)
         except (Overflow, ValueError, RecursionError) as error:
             self.lost(f"unreadable: {type(error).__name__}")
@@ -224,7 +219,7 @@
             self.timer = None
         if self.piece is not None:
             number, self.piece = self.piece, None
-            self.news.given(self, number, self.tables.pop(number))
+            self.news.given(self, number, self.table)
 
     # One method a kind of news.
 
@@ -250,15 +245,15 @@
         number = told["range"]
         self.service.registry.slices[number]
         if told["flag"] is True:
-            self.piece, self.tables[number] = number, {}
+            self.piece, self.table = number, {}
             self.timer = self.service.clock.limit(self.service.limits.settle, self.granted)
         else:
             self.news.withdrawn(number)
 
     def line(self, told: dict) -> None:
-        if told["range"] == self.piece:
+        if told["range"] == self.piece is not None:
             self.service.registry.server(told["target"])
-            self.tables[self.piece][told["target"]] = float(figure(told["rps"]))
+            self.table[told["target"]] = float(figure(told["rps"]))
 
 
 KINDS = {"hello": Feed.hello, "bye": Feed.bye, "ack": Feed.ack, "lease": Feed.lease, "line": Feed.line}
@@ -291,9 +286,7 @@
         if not self.feed:  # else the old connection still brings them
             self.service.mode("news", "lost", why)
         self.failures += 1
-        limits = self.service.limits
-        pause = self.service.clock.backoff(self.failures, limits.retry_first, limits.retry_longest)
-        self.service.clock.after(pause, self.look)
+        self.service.clock.retry(self.failures, self.look)
 
     def opened(self, feed: Feed) -> None:
         """A sign of life: all that stands has come.  What did not come stands no more."""
--- a/flintreach/net/roster.py
+++ b/flintreach/net/roster.py
@@ -29,14 +29,14 @@
         self.service, self.index, self.known = service, None, False
         self.connection, self.failures, self.on = None, 0, not service.settings.asks_roster
 
-    def events(self, answer: dict, how: str) -> list[face.Roster]:
+    def read(self, answer: dict, how: str) -> face.Roster:
         listed = []
         for name, place, zone, kind, cell, state, weight, started in rows(answer, self.service.config):
             server = self.service.registry.server(name)
             server.zone, server.kind, server.cell = zone, kind, cell
             self.service.servers.addresses[server] = place
             listed.append(face.Entry(server, state, weight, started))
-        return [face.Roster(how, listed)] if listed else []
+        return face.Roster(how, listed)
 
     def start(self) -> None:
         if self.on and not self.connection:
@@ -78,7 +78,8 @@
             if not whole and (self.index is None or index < self.index):
                 self.index, index = None, None  # it began anew: only the whole list says what holds
             else:
-                for event in self.events(answer, "full" if whole else "delta"):
+                event = self.read(answer, "full" if whole else "delta")
+                if event.entries:
                     self.service.event(event)
         except UNREADABLE as error:
             return self.failed(f"{type(error).__name__} {error}")
@@ -101,6 +102,4 @@
         self.service.mode("discovery", "lost", why)
         if self.service.settings.asks_roster:
             self.service.event(face.Roster("failed", []))
-        limits = self.service.limits
-        pause = self.service.clock.backoff(self.failures, limits.retry_first, limits.retry_longest)
-        self.service.clock.after(pause, self.start)
+        self.service.clock.retry(self.failures, self.start)
--- a/flintreach/net/service.py
+++ b/flintreach/net/service.py
@@ -21,11 +21,11 @@
 class Service:
     def __init__(self, config, loop: asyncio.AbstractEventLoop, log):
         self.loop, self.log, self.limits = loop, log, config.limits
-        self.settings, self.zones, self.kinds = config.settings, config.zones, config.kinds
+        self.settings, self.zones = config.settings, config.zones
         self.operations = {operation.name: operation for operation in config.settings.operations}
         self.loads, self.config = settings.LOADS, config
         self.discovery, self.store = config.discovery, config.store
-        self.registry, self.clock = Registry(config.settings), Clock(loop, config.seed, config.limits.grace)
+        self.registry, self.clock = Registry(config.settings), Clock(loop, config.seed, config.limits)
         self.pilot = Pilot(config.settings)
         self.gathered, self.turn_due, self.ready, self.status = [], False, False, 0
         self.modes, self.counts = {}, {}
@@ -120,8 +120,7 @@
 
     async def start(self) -> None:
         config = self.config
-        known = self.roster.events(config.known, "cached") if config.known else []
-        self.gathered += known or [face.Roster("cached", [])]
+        self.gathered.append(self.roster.read(config.known or {"endpoints": []}, "cached"))
         self.turn()
         host, port = address(config.listen)
         self.server = await self.loop.create_server(lambda: Client(self.clients), host, port,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -127,6 +127,15 @@
     return {"index": index, "snapshot": snapshot, "endpoints": [row(n) for n in range(servers)]} | rows
 
 
+def stands(slices=8, proxies=3, new=False, spread=lambda n: "s0"):
+    """What a news connection opens with: proxies, then each slice with its line."""
+    items = [("hello", {"id": n, "site": "south", "rps": 2.0, "new": new}) for n in range(proxies)]
+    for n in range(slices):
+        items += [("lease", {"range": n, "flag": True}),
+                  ("line", {"range": n, "target": spread(n), "rps": 1.0})]
+    return items
+
+
 class Handle:
     def __init__(self, at, do):
         self.at, self.do, self.off = at, do, False
@@ -378,13 +387,6 @@
                 return self.open[-1]
         raise AssertionError(f"nobody asks for {path}")
 
-    def stands(self, slices=8, proxies=3, server=lambda n: n % 4):
-        items = [("hello", {"id": n, "site": "north", "rps": 5.0, "new": True}) for n in range(proxies)]
-        for n in range(slices):
-            items += [("lease", {"range": n, "flag": True}),
-                      ("line", {"range": n, "target": f"s{server(n)}", "rps": 1.0})]
-        return items
-
     def end(self):
         self.process.kill()
         self.process.wait()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,7 +3,7 @@
 import json
 
 import pytest
-from helpers import Log, Loop, Pipe, Recorder, Wire, listing, row, told
+from helpers import Log, Loop, Pipe, Recorder, Wire, listing, row, stands, told
 
 from flintreach import interface as face
 from flintreach.interface import SECOND
@@ -25,27 +25,21 @@
         path.write_text(json.dumps(told(**changes)))
         service = Service(config.load(str(path), {}), Loop(), Log())
         service.pilot = Recorder()
-        service.roster.events(service.config.known, "cached")
+        service.roster.read(service.config.known, "cached")
         return service
     return build
 
 
-def joined(service, server="s0", slices=8):
+def joined(service):
     """Its news connection, with three proxies and all slices told."""
     service.news.look()
     news = Wire.made[-1]
-    news.tell(*stands(server, slices), ())
+    news.tell(*stands(), ())
     service.loop.run(0.1)
     service.pilot.seen.clear()
     return news
 
 
-def stands(server="s0", slices=8, proxies=3):
-    return [("hello", {"id": n, "site": "south", "rps": 2.0, "new": False}) for n in range(proxies)] + [
-        item for n in range(slices) for item in (("lease", {"range": n, "flag": True}),
-                                                 ("line", {"range": n, "target": server, "rps": 1.0}))]
-
-
 def seen(service):
     """What the decisions have been told, in short."""
     service.loop.run(0.1)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -7,7 +7,7 @@
 import sys
 
 import pytest
-from helpers import Peer, Program, listing, row, told
+from helpers import Peer, Program, listing, row, stands, told
 
 
 @pytest.fixture
@@ -22,11 +22,15 @@
         program.end()
 
 
-def ready(program, slices=8):
+def spread(number):
+    return f"s{number % 4}"
+
+
+def ready(program):
     """All that stands has been told, and the sign of life is given."""
     news = program.called("/stream")
     news.stream()
-    news.tell(*program.stands(slices), ())
+    news.tell(*stands(new=True, spread=spread), ())
     client = program.dial()
     client.send(b'{"msg":"probe"}\n')
     assert json.loads(client.until(b"\n")) == {"msg": "alive"}
@@ -70,8 +74,7 @@
     spoil(call)
     again = program.called("/stream")
     again.stream()
-    items = program.stands(server=lambda n: targets.get(n, f"s{n % 4}")[1:] if carried else n % 4)
-    again.tell(*[("hello", it | {"new": False}) if kind == "hello" else (kind, it) for kind, it in items], ())
+    again.tell(*stands(spread=lambda n: targets.get(n, spread(n)) if carried else spread(n)), ())
     if carried:  # nothing is ordered again: the next call is for the next drain
         drained(program, 2, 3)
     second = program.called("/batches")
@@ -88,7 +91,7 @@
     peer.reset()
     again = program.called("/stream")
     again.stream()
-    again.tell(*[(kind, it | {"new": False} if kind == "hello" else it) for kind, it in program.stands()], ())
+    again.tell(*stands(spread=spread), ())
     second = program.called("/batches")
     assert moves(second, 8) == ({1, 5}, {1, 5}) and {"op": "OUT", "target": "s1"} in second.orders
 
@@ -111,7 +114,7 @@
     news.reset()
     again = program.called("/stream")
     again.stream()
-    again.tell(*[item for item in program.stands() if item[1].get("range") != 5], ())
+    again.tell(*[item for item in stands(new=True, spread=spread) if item[1].get("range") != 5], ())
     program.logged("news: lost")
     program.logged("news: told")
     drained(program)
