SIGHUP reads the configuration again and moves to its addresses; state stays

Checked: run.py installs handlers for SIGTERM and SIGINT alone, so the system's default ended the process; config.load let PROXY_DISCOVERY go before the file, so a reread would have kept the old address for ever. Now discovery is asked for its whole list at the new address, a fresh news connection opens beside the old one, a call in hand ends where it began, and the next goes to the new address. A file that can't be read changes nothing; what only a start can take over is named in the log line.

Tests: two moves with a call in hand each, five unreadable files, SIGTERM during a move; all fail without the change.

--- a/flintreach/net/config.py
+++ b/flintreach/net/config.py
@@ -19,6 +19,8 @@
 
 @dataclass(slots=True)
 class Config:
+    path: str
+    told: dict  # the file as it was read
     name: str
     seed: int
     listen: str
@@ -34,9 +36,11 @@
     kinds: dict[str, int]
 
 
-def load(path: str | None, variables: dict[str, str] | None = None) -> Config:
+def load(path: str | None, variables: dict[str, str] | None = None, again: bool = False) -> Config:
+    """Variables go before the file, but not when it is read again: they are of the start."""
     variables = os.environ if variables is None else variables
     path = path or variables.get("PROXY_CONFIG")
+    variables = {} if again else variables
     if not path:
         raise ConfigError("PROXY_CONFIG names no file")
     try:
@@ -45,6 +49,7 @@
         seed = zlib.crc32(str(told.get("seed", "")).encode())
         nested = told["settings"]
         config = Config(
+            path=path, told=told,
             name=variables.get("PROXY_NAME") or str(told.get("name", "")), seed=seed,
             listen=checked(variables.get("PROXY_LISTEN") or told["listen"]),
             discovery=checked(variables.get("PROXY_DISCOVERY") or told["discovery"]),
--- a/flintreach/net/roster.py
+++ b/flintreach/net/roster.py
@@ -57,6 +57,12 @@
         self.on = True
         self.start()
 
+    def move(self) -> None:
+        """The new address may count its versions otherwise: the whole list from there, at once."""
+        self.failures = 0
+        if self.on:
+            self.fetch()
+
     def ask(self) -> None:
         limits = self.service.limits
         if self.index is None:
--- a/flintreach/net/run.py
+++ b/flintreach/net/run.py
@@ -42,6 +42,7 @@
     service = Service(config, loop, log)
     for sign in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(sign, service.stop, 0)
+    loop.add_signal_handler(signal.SIGHUP, service.reload)
     try:
         loop.run_until_complete(service.start())
     except OSError as error:
--- a/flintreach/net/service.py
+++ b/flintreach/net/service.py
@@ -8,6 +8,7 @@
 from flintreach.logic import Pilot
 from flintreach.net.clients import Client, Clients
 from flintreach.net.clock import Clock
+from flintreach.net.config import ConfigError, load
 from flintreach.net.http import address
 from flintreach.net.pilots import Pilots
 from flintreach.net.relay import Calls, News
@@ -15,6 +16,7 @@
 from flintreach.net.servers import Servers
 from flintreach.registry import Registry
 
+MOVED = {"discovery", "store", "known", "seed"}  # what a configuration read again may change, or need not
 RELAYED = (face.SetLine, face.Clear, face.Withdraw, face.Admit, face.Mark)
 
 
@@ -140,6 +142,23 @@
             self.log.info("ready", servers=len(self.registry.servers), discovery=self.roster.known)
             self.clients.ready()
 
+    def reload(self) -> None:
+        """SIGHUP moves the addresses of discovery and the relay, and keeps all state.  A call in hand ends
+        where it began; the next ones and a fresh news connection, beside the old, go to the new address."""
+        try:
+            told = load(self.config.path, again=True)
+        except ConfigError as error:
+            return self.log.error("reload: the old configuration stays", error=str(error))
+        old, new = self.config.told, told.told
+        kept = [name for name in sorted({*old, *new} - MOVED) if old.get(name) != new.get(name)]
+        moved = [name for name in ("discovery", "store") if getattr(self, name) != getattr(told, name)]
+        self.log.info("reload", moved=moved, only_at_a_start=kept)
+        self.discovery, self.store = told.discovery, told.store
+        if "discovery" in moved:
+            self.roster.move()
+        if "store" in moved:
+            self.news.look(again=True)
+
     def stop(self, status: int) -> None:
         self.status = status
         self.log.info("stopped", status=status, turns=self.turns, longest_ms=self.longest // 1_000_000,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,6 +3,7 @@
 import json
 import os
 import select
+import signal
 import socket
 import struct
 import subprocess
@@ -346,17 +347,27 @@
 
     def __init__(self, folder, **changes):
         self.relay, self.discovery = socket.create_server(("127.0.0.1", 0)), Discovery()
-        told_it = told(**changes) | {
-            "store": {"address": "{}:{}".format(*self.relay.getsockname())},
-            "discovery": "{}:{}".format(*self.discovery.listener.getsockname())}
-        self.path = folder / "config.json"
-        self.path.write_text(json.dumps(told_it))
-        self.open = []
+        self.path, self.config, self.open, self.old = folder / "config.json", told(**changes), [], []
+        self.write()
         self.start()
 
+    def write(self):
+        self.config |= {"store": {"address": "{}:{}".format(*self.relay.getsockname())},
+                        "discovery": "{}:{}".format(*self.discovery.listener.getsockname())}
+        self.path.write_text(json.dumps(self.config))
+
+    def move(self, answer=None):
+        """Discovery and the relay go to other addresses, and the program is told; the old ones stay open."""
+        self.old += [self.relay, self.discovery.listener]
+        self.relay, self.discovery = socket.create_server(("127.0.0.1", 0)), Discovery()
+        self.discovery.tell(answer)
+        self.write()
+        self.process.send_signal(signal.SIGHUP)
+
     def start(self):
+        variables = {"PROXY_CONFIG": str(self.path), "PROXY_DISCOVERY": self.config["discovery"]}
         self.process = subprocess.Popen([sys.executable, "-m", "flintreach", "serve"], stdout=subprocess.PIPE,
-                                        env=os.environ | {"PROXY_CONFIG": str(self.path)})
+                                        env=os.environ | variables)
         self.text = ""
         line = self.logged("listening")
         self.port = int(line.split("at='127.0.0.1:")[1].split("'")[0])
@@ -393,5 +404,5 @@
         self.process.stdout.close()
         for peer in self.open:
             peer.sock.close()
-        self.relay.close()
-        self.discovery.listener.close()
+        for listener in (*self.old, self.relay, self.discovery.listener):
+            listener.close()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -37,11 +37,11 @@
     return news, client
 
 
-def moves(call, slices):
-    """Slices that a call takes off s1, and those that it puts elsewhere."""
-    sets = [told for told in call.orders if told["op"] == "SET"]
-    return ({told["table"] for told in sets if told["target"] == "s1" and told["rps"] == 0},
-            {told["table"] for told in sets if told["target"] != "s1" and told["rps"] > 0})
+def moves(call, server=1):
+    """Slices that a call takes off a server, and those that it puts elsewhere."""
+    sets, name = [told for told in call.orders if told["op"] == "SET"], f"s{server}"
+    return ({told["table"] for told in sets if told["target"] == name and told["rps"] == 0},
+            {told["table"] for told in sets if told["target"] != name and told["rps"] > 0})
 
 
 def drained(program, number=1, index=2):
@@ -56,7 +56,7 @@
     news.tell(("ack", {"id": 1, "seq": 1, "ms": 3.0}), piece=piece)
     drained(program)
     call = program.called("/batches")
-    assert moves(call, 8) == ({1, 5}, {1, 5})
+    assert moves(call) == ({1, 5}, {1, 5})
     assert call.orders[0] == {"op": "OUT", "target": "s1"} and call.orders[-1]["op"] == "SYNC"
     call.answer({"taken": len(call.orders)}, piece=piece)
 
@@ -79,7 +79,7 @@
         drained(program, 2, 3)
     second = program.called("/batches")
     assert ({"op": "OUT", "target": "s1"} in second.orders) != carried
-    assert (moves(second, 8)[0] == {1, 5}) != carried
+    assert (moves(second)[0] == {1, 5}) != carried
 
 
 def test_a_call_reset_before_its_last_byte_is_made_again(start):
@@ -93,7 +93,7 @@
     again.stream()
     again.tell(*stands(spread=spread), ())
     second = program.called("/batches")
-    assert moves(second, 8) == ({1, 5}, {1, 5}) and {"op": "OUT", "target": "s1"} in second.orders
+    assert moves(second) == ({1, 5}, {1, 5}) and {"op": "OUT", "target": "s1"} in second.orders
 
 
 def test_a_call_refused_for_now_and_a_short_answer_lose_no_order(start):
@@ -118,7 +118,7 @@
     program.logged("news: lost")
     program.logged("news: told")
     drained(program)
-    assert moves(program.called("/batches"), 8) == ({1}, {1})
+    assert moves(program.called("/batches")) == ({1}, {1})
 
 
 def test_news_that_fall_silent_are_dialled_anew(start):
@@ -136,7 +136,7 @@
     program.logged("discovery: lost")
     program.discovery.asked("after=1&")  # on a fresh connection
     program.discovery.tell(listing(0, 0, endpoints=[row(0), row(1, "draining"), row(2), row(3)]))
-    assert moves(program.called("/batches"), 8) == ({1, 5}, {1, 5})
+    assert moves(program.called("/batches")) == ({1, 5}, {1, 5})
 
 
 def test_strangers_and_a_line_of_two_mebibytes_do_not_keep_collectors_out(start):
@@ -157,10 +157,49 @@
     assert collector.until(b"\n")
 
 
-@pytest.mark.parametrize("sign", [signal.SIGTERM, signal.SIGINT])
-def test_a_signal_ends_it_cleanly(start, sign):
+def test_a_reload_under_load_moves_the_addresses_and_keeps_all_state(start):
+    program = start()
+    news, client = ready(program)
+    where = {n: spread(n) for n in range(8)}
+    for server, others in ((1, (1,)), (2, (1, 2))):
+        program.discovery.tell(listing(0, 1 + server, False, endpoints=[row(server, "draining")]))
+        call = program.called("/batches")
+        assert moves(call, server)[0] == {n for n in where if where[n] == f"s{server}"}  # and no other
+        program.move(listing(4, 1 + server, endpoints=[row(n, "draining" if n in others else "up")
+                                                       for n in range(4)]))
+        assert "moved=['discovery', 'store']" in program.logged("reload")
+        program.discovery.asked("hosts")
+        again = program.called("/stream")
+        call.answer({"taken": len(call.orders)})  # it ends where it began, and is not made again
+        where |= {told["table"]: told["target"] for told in call.orders if told.get("rps")}
+        again.stream()
+        again.tell(*stands(spread=where.get), ())
+        assert news.ended()
+        news = again
+        client = program.dial()
+        client.send(b'{"msg":"probe"}\n')
+        assert client.until(b"\n")
+
+
+@pytest.mark.parametrize("text", [None, "", '{"name":', "[]", '{"settings": {}}'])
+def test_a_configuration_that_cannot_be_read_again_changes_nothing(start, text):
+    program = start()
+    ready(program)
+    program.path.unlink() if text is None else program.path.write_text(text)
+    program.process.send_signal(signal.SIGHUP)
+    program.logged("reload: the old configuration stays")
+    drained(program)
+    assert moves(program.called("/batches")) == ({1, 5}, {1, 5})
+
+
+@pytest.mark.parametrize("sign, moved", [
+    (signal.SIGTERM, False), (signal.SIGINT, False), (signal.SIGTERM, True)])
+def test_a_signal_ends_it_cleanly(start, sign, moved):
     program = start()
     ready(program)
+    if moved:
+        program.move()
+        program.called("/stream")
     program.process.send_signal(sign)
     assert program.process.wait(30) == 0
 
@@ -174,7 +213,7 @@
     program.start()
     ready(program)
     drained(program)
-    assert moves(program.called("/batches"), 8) == ({1, 5}, {1, 5})
+    assert moves(program.called("/batches")) == ({1, 5}, {1, 5})
 
 
 def test_a_log_that_nobody_reads_does_not_stop_it(start):
