A bad report costs itself alone; strangers are bound by age and push out nobody else

Checked: a probe printed what was refused: 254 of the collectors' messages with one field missing, null-like, negative, absurd, a text, a list, or naming what does not exist, each among good ones; strangers sent joinings, orders and reports of their own, and what they reported counted as a collector's would. At fault: Client.data_received closed on any error; Client.bear renewed a stranger's time with each message; Clients.add took a collector where no stranger was left; True passed as slice 1. Now a message is distrusted alone, a connection only where bytes can't be read; before a zone is named only that and the question for a sign of life are heard; a stranger's limit is its age of 1.5 s; half a line is borne 4 s; each state makes room for its own.

--- a/flintreach/net/clients.py
+++ b/flintreach/net/clients.py
@@ -5,22 +5,26 @@
 from flintreach import interface as face
 from flintreach.net.buffer import Buffer, Overflow
 from flintreach.net.limits import MS
-from flintreach.net.reading import UNREADABLE, figure, objects
+from flintreach.net.reading import UNREADABLE, figure, lines, whole
 
 ALIVE = b'{"msg":"alive"}\n'
 
-# State, input, next state, and what is counted.  A pair that is not here changes nothing.
+# State, input, next state, and what is counted.  A pair that is not here changes nothing.  Each state makes
+# room for its own: hundreds of strangers push out no collector, and no question that waits for its answer.
 STATES = {
     ("stranger", "named"): ("collector", None),
-    ("stranger", "silent"): ("dropped", "silent stranger"),
-    ("stranger", "malformed"): ("dropped", "malformed line"),
-    ("stranger", "long"): ("dropped", "long line"),
-    ("stranger", "unread"): ("dropped", "reads nothing"),
-    ("stranger", "crowded"): ("dropped", "too many"),
-    ("collector", "malformed"): ("dropped", "malformed line"),
-    ("collector", "long"): ("dropped", "long line"),
-    ("collector", "unread"): ("dropped", "reads nothing"),
-    ("collector", "crowded"): ("dropped", "too many"),
+    ("stranger", "asked too early"): ("asking", None),
+    ("asking", "named"): ("collector", None),
+    ("asking", "answered"): ("stranger", None),
+    ("stranger", "old"): ("dropped", "old stranger"),
+    ("stranger", "crowded"): ("dropped", "too many strangers"),
+    ("asking", "crowded"): ("dropped", "too many strangers"),
+    ("collector", "crowded"): ("dropped", "too many collectors"),
+    ("collector", "half a line"): ("dropped", "half a line"),
+    ("stranger", "not understood"): ("dropped", "stranger not understood"),
+    ("asking", "not understood"): ("dropped", "stranger not understood"),
+    **{(state, what): ("dropped", what) for state in ("stranger", "asking", "collector")
+       for what in ("unreadable", "long line", "reads nothing")},
 }
 
 
@@ -33,88 +37,115 @@
     def connection_made(self, transport) -> None:
         self.transport = transport
         transport.set_write_buffer_limits(high=self.service.limits.unread)
-        self.bear()
+        self.bound("old", self.service.limits.stranger_time)
         self.clients.add(self)
 
-    def bear(self) -> None:
-        """A stranger is borne for a while, and anew each time that it asks something."""
+    def bound(self, what: str | None, wait: int = 0) -> None:
+        """The one time limit of the state.  A stranger's is its age: one may talk on for ever."""
         if self.timer:
             self.timer.cancel()
-        self.timer = self.service.clock.limit(self.service.limits.stranger_time, lambda: self.step("silent"))
+        self.timer = self.service.clock.limit(wait, lambda: self.step(what)) if what else None
 
     def step(self, what: str) -> None:
         state, why = STATES.get((self.state, what), (self.state, None))
-        if state != self.state:
-            self.state = state
-            self.timer.cancel()
+        if state == self.state:
+            return
+        if state == "stranger":
+            self.bound("old", self.service.limits.stranger_time)
+        else:
+            self.bound(None)
+        self.clients.remove(self)
+        self.state = state
         if why:
             self.service.count(f"client dropped: {why}")
-            self.clients.remove(self)  # at once: its end is heard of only after others have come
             self.transport.abort()
+        else:
+            self.clients.add(self)
 
     def pause_writing(self) -> None:
-        self.step("unread")
+        self.step("reads nothing")
 
     def connection_lost(self, error) -> None:
-        self.timer.cancel()
+        self.bound(None)
         self.clients.remove(self)
+        self.state = "dropped"
 
     def data_received(self, data: bytes) -> None:
+        read, limits = 0, self.service.limits
         try:
             self.buffer.put(data)
-            for message in objects(self.buffer):
-                self.take(message)
+            for line in lines(self.buffer):
+                read += 1
+                self.take(line)
+                if self.state == "dropped":
+                    return
             self.clients.heard(self)
-            if self.state == "stranger" and len(self.buffer) > self.service.limits.stranger_line:
+            if self.state != "collector" and len(self.buffer) > limits.stranger_line:
                 raise Overflow("a stranger's long line")
         except Overflow:
-            self.step("long")
+            return self.step("long line")
         except UNREADABLE:
-            self.step("malformed")
-        if self.service.full() and not self.transport.is_closing():
+            return self.step("unreadable")
+        if self.state == "collector":
+            # Cut off within a line, or one that never ends: the rest would be waited for with all it holds.
+            if read or not len(self.buffer):
+                self.bound(None)
+            if len(self.buffer) and not self.timer:
+                self.bound("half a line", limits.line_time)
+        if self.service.full():
             self.transport.pause_reading()
             self.clients.paused.append(self)
 
-    def take(self, message: dict) -> None:
-        what = KINDS.get(message["msg"])
-        if what:
-            what(self, message)
-        if self.state == "stranger":
-            self.bear()
+    def take(self, message: object) -> None:
+        """One message is distrusted, not the collector that brings it: those around it are good."""
+        try:
+            KINDS[message["msg"]](self, message)
+        except UNREADABLE as error:
+            if self.state == "collector":
+                self.service.count("report not understood", repr(error))
+            self.step("not understood")
 
     # One method a kind of message.
 
     def probe(self, message: dict) -> None:
-        self.clients.answer(self)
+        if self.service.ready:
+            self.transport.write(ALIVE)
+        else:
+            self.step("asked too early")
 
     def agent(self, message: dict) -> None:
         self.service.zones[message["site"]]  # the zone of sums stands in each; here it makes a collector
         self.step("named")
 
     def tries(self, message: dict) -> tuple[int, int, int]:
+        if self.state != "collector":
+            raise ValueError("a report before a zone is named")
         # What came in one period may go unanswered in the next: more may fail than came.
-        most = self.service.limits.figure
-        count, fail = int(figure(message["count"], most)), int(figure(message.get("fail", 0), most))
-        return count, fail, int(figure(message["over"], most) * MS)
+        limits = self.service.limits
+        span = int(figure(message["over"], limits.span // MS) * MS)
+        return whole(message["count"], limits.tries), whole(message["fail"], limits.tries), span
 
     def outcomes(self, message: dict) -> None:
         tries, unanswered, span = self.tries(message)
-        latency = int(figure(message.get("mean", 0), self.service.limits.figure) * MS)
-        zone, load = self.service.zones[message["site"]], message.get("util") or {}
-        told = {self.service.loads.get(name, name): figure(value, self.service.limits.figure)
-                for name, value in load.items()}
-        server = self.service.registry.servers.get(message["target"])
-        if server is None:  # it must not join the roster by a report
+        limits, known = self.service.limits, self.service.registry.servers
+        # No answer comes after the integration timeout: a longer mean would make the server look jammed.
+        latency = int(figure(message["mean"], self.service.timeout * 2 // MS) * MS)
+        zone, load = self.service.zones[message["site"]], message.get("util", {})
+        names = self.service.loads
+        told = {names.get(name, name): figure(value, limits.load) for name, value in load.items()}
+        if type(message["target"]) is not str:
+            raise ValueError("a name is no text")
+        if message["target"] not in known:  # it must not join the roster by a report
             return self.service.count("report on an unknown endpoint")
-        known = {name: told[name] for name in self.service.settings.load_fields if name in told}
-        self.service.event(face.Heard(zone, server, tries, unanswered, latency, span, known))
+        load = {name: told[name] for name in self.service.settings.load_fields if name in told}
+        self.service.event(face.Heard(zone, known[message["target"]], tries, unanswered, latency, span, load))
 
     def demand(self, message: dict) -> None:
         tries, unanswered, span = self.tries(message)
         operation, registry = self.service.operations[message["lane"]], self.service.registry
         piece = proxy = None
         if "range" in message:
-            piece = registry.slices[message["range"]]
+            piece = registry.slices[whole(message["range"])]
         else:
             proxy = self.service.proxy(message["id"])
         self.service.event(face.Demand(piece, proxy, operation, tries, unanswered, span))
@@ -126,46 +157,41 @@
 
 class Clients:
     def __init__(self, service):
-        self.service, self.open, self.waiting, self.paused, self.held = service, {}, [], [], 0
+        limits = service.limits
+        self.service, self.paused, self.held = service, [], 0
+        self.open = {"stranger": {}, "asking": {}, "collector": {}}  # by state, the quietest first
+        self.most = {"stranger": limits.strangers, "asking": limits.strangers, "collector": limits.collectors}
 
     def add(self, client: Client) -> None:
-        """The stranger silent the longest makes room, or a collector: machines that vanished say nothing."""
-        limits = self.service.limits
-        strangers = [one for one in self.open if one.state == "stranger"]
-        if len(strangers) >= limits.strangers or len(self.open) >= limits.clients:
-            (strangers or list(self.open))[0].step("crowded")
-        self.open[client] = None
+        """The oldest stranger makes room for one, and the collector silent the longest for a collector:
+        machines that vanished say nothing."""
+        mates = self.open[client.state]
+        if len(mates) >= self.most[client.state]:
+            next(iter(mates)).step("crowded")
+        mates[client] = None
+        self.held += client.held
 
     def heard(self, client: Client) -> None:
-        """Those silent the longest are dropped first; and each may send a long line, but all at once would
-        take more memory than there is."""
-        if client.state == "dropped":
-            return
-        self.open[client] = self.open.pop(client)
+        """Each may send a long line, but all at once would take more memory than there is."""
+        if client.state == "collector":
+            self.open["collector"][client] = self.open["collector"].pop(client)
         self.held += client.buffer.size - client.held
         client.held = client.buffer.size
         if self.held > self.service.limits.held:
             raise Overflow("all buffers together")
 
     def remove(self, client: Client) -> None:
-        if client in self.open:
-            del self.open[client]
+        if client in self.open.get(client.state, ()):
+            del self.open[client.state][client]
             self.held -= client.held
 
-    def answer(self, client: Client) -> None:
-        if self.service.ready:
-            client.transport.write(ALIVE)
-        elif len(self.waiting) < self.service.limits.clients:
-            self.waiting.append(client)
-
     def ready(self) -> None:
-        for client in self.waiting:
-            if not client.transport.is_closing():
-                client.transport.write(ALIVE)
-        self.waiting.clear()
+        for client in list(self.open["asking"]):
+            client.transport.write(ALIVE)
+            client.step("answered")
 
     def resume(self) -> None:
         for client in self.paused:
-            if not client.transport.is_closing():
+            if client.state != "dropped":
                 client.transport.resume_reading()
         self.paused.clear()
--- a/flintreach/net/limits.py
+++ b/flintreach/net/limits.py
@@ -9,17 +9,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    clients: int = 256  # connections to us at once
-    strangers: int = 64  # of these, such as have not named a zone
+    collectors: int = 256  # connections to us at once that have named a zone
+    strangers: int = 64  # and that have not; as many again may wait for a sign of life before it can be given
+    backlog: int = 1024  # connections that the system holds until we take them in
     line: int = 1 << 20  # bytes of a client's line, and of a line of news
     stranger_line: int = 4096  # and before a zone is named
-    stranger_time: int = 10 * SECOND  # to name a zone or ask for a sign of life
+    stranger_time: int = 3 * SECOND // 2  # a stranger's age, whatever it says
+    line_time: int = 4 * SECOND  # for the rest of a collector's line
     unread: int = 64 << 10  # bytes that a client may leave unread
     body: int = 8 << 20  # bytes of an answer
     held: int = 48 << 20  # bytes that the buffers of all clients may take
     slow_turn: int = 250 * MS  # of the loop, from which it is worth a log line
     events: int = 20_000  # gathered in one turn; then clients are not read until it is over
-    figure: float = 1e9  # the largest that a report may hold
+    tries: int = 1_000_000  # the most that one report may count
+    span: int = 600 * SECOND  # and its longest time
+    load: float = 1e6  # the largest figure of a load report
     call_bytes: int = 60_000  # of orders in one call
     call_wait: int = 300 * MS  # for a call's answer
     dial_wait: int = 400 * MS
@@ -37,13 +41,13 @@
 
     @classmethod
     def of(cls, told: dict) -> "Limits":
-        """By what is allowed: a quarter of the descriptors for clients, and one for those not yet taken in;
+        """By what is allowed: a quarter of the descriptors for collectors, and one for strangers;
         a quarter of the memory for what clients have sent in part, a sixteenth for an answer.
 
-        >>> Limits.of({"sockets": 100, "memory_mb": 64}).clients
+        >>> Limits.of({"sockets": 100, "memory_mb": 64}).collectors
         25
         """
         sockets, memory = int(told.get("sockets", 1024)), int(told.get("memory_mb", 192)) << 20
         part = min(64, sockets // 8)
-        return cls(clients=min(256, sockets // 4), strangers=part, probes=part, held=memory // 4,
+        return cls(collectors=min(256, sockets // 4), strangers=part, probes=part, held=memory // 4,
                    body=min(8 << 20, memory // 16))
--- a/flintreach/net/reading.py
+++ b/flintreach/net/reading.py
@@ -23,10 +23,30 @@
     return value
 
 
-def objects(buffer: Buffer) -> Iterator[dict]:
-    """The JSON objects that have come whole, one a line."""
+def whole(value: object, most: float = float("inf")) -> int:
+    """
+    >>> whole(7)
+    7
+    """
+    if type(value) is not int:
+        raise ValueError(f"not a whole number: {value!r:.40}")
+    return figure(value, most)
+
+
+def lines(buffer: Buffer) -> Iterator[object]:
+    """What has come whole, one JSON value a line."""
     for line in buffer.lines():
-        message = json.loads(line)
+        try:
+            value = json.loads(line)
+        except ValueError as error:
+            if isinstance(error, (json.JSONDecodeError, UnicodeDecodeError)):
+                raise
+            value = None  # a number of thousands of digits: readable, but no figure of ours
+        yield value
+
+
+def objects(buffer: Buffer) -> Iterator[dict]:
+    for message in lines(buffer):
         if not isinstance(message, dict):
             raise ValueError("not an object")
         yield message
--- a/flintreach/net/servers.py
+++ b/flintreach/net/servers.py
@@ -39,7 +39,7 @@
             connection.close()
             said = {200: "ok", 503: "full"}.get(status, "error") if how == "answered" else STATUSES[how]
             text = body.decode("ascii", "replace") if said == "ok" else ""
-            load = report(text, fields, self.service.loads, limits.figure)
+            load = report(text, fields, self.service.loads, limits.load)
             self.service.event(face.Probed(server, said, clock.now() - began, load))
 
         connection = Connection(clock, limits, self.addresses[server], done)
--- a/flintreach/net/service.py
+++ b/flintreach/net/service.py
@@ -26,6 +26,7 @@
         self.settings, self.zones = config.settings, config.zones
         self.operations = {operation.name: operation for operation in config.settings.operations}
         self.loads, self.config = settings.LOADS, config
+        self.timeout = max((op.integration_timeout for op in config.settings.operations), default=0)
         self.discovery, self.store = config.discovery, config.store
         self.registry, self.clock = Registry(config.settings), Clock(loop, config.seed, config.limits)
         self.pilot = Pilot(config.settings)
@@ -106,11 +107,11 @@
         if before != now:
             self.log.info(f"{what}: {now}", figures=figures)
 
-    def count(self, what: str) -> None:
+    def count(self, what: str, figures: str = "") -> None:
         """The first is logged; the repeated are counted and told at the end and each power of ten."""
         number = self.counts[what] = self.counts.get(what, 0) + 1
         if str(number).strip("0") == "1":
-            self.log.warning(what, times=number)
+            self.log.warning(what, times=number, **{"figures": figures[:80]} if figures else {})
 
     def fault(self, loop, context: dict) -> None:
         """A fault of the transport ends one callback, and is never hidden."""
@@ -126,7 +127,7 @@
         self.turn()
         host, port = address(config.listen)
         self.server = await self.loop.create_server(lambda: Client(self.clients), host, port,
-                                                    backlog=self.limits.clients)
+                                                    backlog=self.limits.backlog)
         if config.peer_listen:
             self.pilots = Pilots(self, config.peers, config.peers_all)
             await self.loop.create_datagram_endpoint(lambda: self.pilots, address(config.peer_listen))
