Reported load counts as background; a question tells a death; the dead leave nothing behind

Ruled out: levels of the whole fleet (1.0 throughout), a full channel, calls in doubt, slow turns. At fault: Pilot.loads took other pilots' slices as even and all servers of a weight as equally fast; judge wanted three seconds of sums; on_heard booked late sums to the new process; relent's way back; targets and withdrawals were never dropped; on_applied took any higher number as an answer.

--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -3,7 +3,7 @@
 A host makes one `Pilot(settings)` an instance and calls `handle(now, events)` for each batch; the reply is
 the list of orders, in order.  Settings, events and orders are the dataclasses of `flintreach/interface.py`.
 The module is pure: no clock, no input or output, no ids; the same events give the same orders.
-The mechanism is the "closest" repartitioning of FLEX; `docs/design.md` tells what was kept and changed.
+The mechanism is the "closest" repartitioning of FLEX; see `docs/design.md`.
 """
 
 import math
@@ -14,30 +14,23 @@
 from flintreach.interface import SECOND
 
 BEAT = SECOND // 4  # how often the pilot looks up
-RUN_EVERY = 10 * SECOND  # between full runs of the repartitioning; short ones come each second
-RUN_FIRST = 4 * SECOND  # before the first run: the map of the start may fit badly
+RUN_EVERY, RUN_FIRST = 10 * SECOND, 4 * SECOND  # between full runs; before the first
 SMOOTHING = 10  # seconds of demand that a slice's figure covers
-RECENT = 3  # seconds that show a jump
+RECENT, LAST = 3, 2  # seconds that show a jump, and a death
 TURN = 3 * SECOND  # sums of a large fleet come by turns: silence for so long is no lack of demand
-BETA = 0.7  # a slice gains a copy above this part of the mean demand of a server
-LOW_RUNS = 3  # runs for which a copy must have been too many before it goes
-DEV, STEP = 30.0, 15.0  # the first permitted deviation and its steps, in hundredths of a mean server's quota
-BAND = 10.0  # a run is skipped within the last deviation plus this
-MEMORY = 0.25  # what the memory of all slices counts against their demand
-FILL = 0.25  # part of its quota that a slice may bring above it to a server that warms up
-SOLUTIONS = 20  # candidates a run
-ATTEMPTS = 20  # moves or swaps a candidate, or as many as there are servers
-NEAR = 3  # servers at each end that are paired for the widest gaps
-ENOUGH = 8  # tries without which nobody is judged
-FADE = 0.9  # how what is known of its latency fades each second without answers
-DEAD = 0.7  # part unanswered from which a server counts as failing
-OUT_MOST = 0.25  # of the servers, how many may fail at once and still be taken out
-OUT_FOR = 8 * SECOND  # first time out; doubles with each failed trial
-FORGET = 60 * SECOND  # after the last time out, until its strikes are forgotten
+BETA, LOW_RUNS = 0.7, 3  # of a server's mean demand, for one copy more; runs of too many before one goes
+DEV, STEP, BAND = 30.0, 15.0, 10.0  # permitted deviation, its steps, and what beyond it calls for no run
+MEMORY, FILL = 0.25, 0.25  # of memory against demand; of a cold server's quota, what may come above it
+SOLUTIONS, ATTEMPTS, NEAR = 20, 20, 3  # candidates a run; moves each, at least; servers paired at each end
+ENOUGH = 6  # tries without which nobody is judged
+FADE = 0.9  # how what is known of a server fades each second without answers
+DEAD, OUT_MOST = 0.7, 0.25  # part unanswered of a failing server; of the servers, how many may be taken out
+OUT_FOR, FORGET = 8 * SECOND, 60 * SECOND  # first time out, doubled by failed trials; these are forgotten
 HARD_SHARE, HARD_LATE = 0.3, 0.4  # parts unanswered, and of the latency objective, that strain a server
-COLD_LATE = 0.5  # and of the latency objective in one line, two answers, that empty a cold one
-CROWDED = 0.6  # strain from which a server may be worse off than its peers
-WORSE = 1.5  # times the strain of the best quarter of peers from which a server is crowded
+SUSPECT = 0.3  # part of a line unanswered, two at least, from which a server is asked whether it lives
+FULLER, EXTRA_MOST = 2.0, 1.0  # times its report that a late server counts as full; the most that it weighs
+COLD_LATE = 0.5  # of the latency objective in one line, two answers, that empty a cold server
+CROWDED, WORSE = 0.6, 1.5  # strain, as such and by the best quarter's, from which a server is crowded
 BEARS_DOWN, BEARS_UP, BEARS_LEAST = 0.8, 0.05, 0.5  # how a crowded server's quota falls and comes back
 LEVEL_DOWN, LEVEL_UP, LEVEL_LEAST = 0.4, 0.2, 0.05  # how levels fall at the most, and come back
 QUIET = {"queue": 1, "util": 0.8}  # reports below which late answers are not a server's own load
@@ -54,14 +47,11 @@
     ("leaving", "ready"): ("fit", None),
     ("cold", "warm"): ("fit", None),
     ("cold", "strained"): ("cold", "relieve"),
-    ("fit", "failing"): ("out", "strike"),
-    ("cold", "failing"): ("out", "strike"),
-    ("trial", "failing"): ("out", "strike"),
+    **{(mode, "failing"): ("out", "strike") for mode in ("fit", "cold", "trial")},
     ("trial", "sound"): ("fit", None),
     ("out", "due"): ("trial", None),
 }
-CLOSED = ("unknown", "out", "leaving")
-TENDER = ("cold", "trial")
+CLOSED, TENDER = ("unknown", "out", "leaving"), ("cold", "trial")
 NONE = -1  # in place of a slice, where a swap is a move; its demand stands last and is 0
 
 
@@ -69,19 +59,16 @@
     """Sums in buckets of one second that are used again."""
 
     def __init__(self, size, width):
-        self.stamps = [-1] * size
-        self.sums = [[0] * width for _ in range(size)]
+        self.stamps, self.sums = [-1] * size, [[0] * width for _ in range(size)]
 
     def add(self, now, span, *values):
         """A line that covers some seconds is no burst: it is booked evenly into all of them."""
         size, last = len(self.stamps), now // SECOND
         turns = min(max(1, round(span / SECOND)), size)
         for turn in range(last - turns + 1, last + 1):
-            if self.stamps[turn % size] != turn:
-                self.stamps[turn % size], self.sums[turn % size] = turn, [0] * len(values)
-            row = self.sums[turn % size]
-            for place, value in enumerate(values):
-                row[place] += value / turns
+            old = self.sums[turn % size] if self.stamps[turn % size] == turn else [0] * len(values)
+            self.stamps[turn % size] = turn
+            self.sums[turn % size] = [sum + value / turns for sum, value in zip(old, values)]
 
     def total(self, now, span):
         last = now // SECOND
@@ -90,40 +77,35 @@
 
 
 class Target:
-    """What the pilot holds of a server."""
-
     def __init__(self, server):
         self.server, self.mode, self.weight, self.started = server, "unknown", 1.0, 0
         self.heard = Ring(RECENT + 2, 3)  # tries, unanswered, latency of all that succeeded
         self.heard_at = self.until = self.strikes = self.hold = 0
         self.gained = self.idle = False  # a slice since the last run; nothing waits, by its own report
-        self.late = 1.0  # mean latency when it was last known, in parts of what strains a server
-        self.bears = 1.0  # part of its listed weight that it is found to bear
-        self.level = 1.0  # part of the cheapest operation that it is let in
+        self.late, self.part = 1.0, 0.0  # mean latency when last known, in parts of what strains; unanswered
+        self.asked = self.mute = self.moved = 0  # when it was asked, gave no answer, and got or lost slices
+        self.full, self.extra = None, 0.0  # load by its report; what others' slices and its kind add to ours
+        self.bears = self.level = 1.0  # parts: of its weight that it bears, of the cheapest operation let in
 
 
 class Unit:
-    """What the pilot holds of a slice: what its table shall be and what has been ordered of it."""
-
-    def __init__(self, piece):
-        self.slice, self.ours, self.since, self.told_at = piece, False, 0, 0
+    def __init__(self, piece, ours=False, since=0):
+        self.slice, self.ours, self.since, self.told_at = piece, ours, since, 0
         self.came = Ring(SMOOTHING + RECENT, 2)  # invocations, storms left out; all that came
         self.rate = self.press = 0.0  # invocations a second: smoothed without storms; all, of late
         self.copies, self.low, self.level = 1, 0, 1.0
-        self.want, self.have = {}, {}
+        self.want, self.have = {}, {}  # what its table shall be, and what has been ordered of it
 
 
 class Partition:
     """A map of units to targets with the gaps between load and quota, kept as it changes."""
 
     def __init__(self, old, memory, demand, amounts, unit, tender, gained):
-        self.old, self.holds = old, [set(held) for held in old]
-        self.memory, self.demand = memory[:], demand[:]  # gaps a target
+        self.old, self.holds, self.distance = old, [set(held) for held in old], 0
+        self.memory, self.demand, self.gained = memory[:], demand[:], gained[:]  # gaps and gains a target
         self.amounts, self.unit, self.tender = amounts, unit, tender
-        self.gained, self.distance = gained[:], 0
 
-    def put(self, p, x, sign):
-        """Unit p comes to target x (sign 1) or leaves it (-1)."""
+    def put(self, p, x, sign):  # 1: unit p comes to target x; -1: it leaves
         (self.holds[x].add if sign > 0 else self.holds[x].discard)(p)
         if p not in self.old[x]:
             self.distance += sign
@@ -131,16 +113,15 @@
         self.memory[x] += sign * self.unit
         self.demand[x] += sign * self.amounts[p][x in self.tender]
 
-    def deviation(self, x, y):
-        return abs(self.memory[x] - self.memory[y]) + abs(self.demand[x] - self.demand[y])
-
     def pairs(self):
         """Rows of (deviation, x, y): the ends by sum and by difference of the gaps hold the widest surely."""
         found = set()
         for sign in (1, -1):
             order = sorted(range(len(self.old)), key=lambda x: self.memory[x] + sign * self.demand[x])
             found.update((min(x, y), max(x, y)) for x in order[:NEAR] for y in order[-NEAR:])
-        return [(gap, x, y) for x, y in sorted(found) if (gap := self.deviation(x, y)) > 0]
+        rows = [(abs(self.memory[x] - self.memory[y]) + abs(self.demand[x] - self.demand[y]), x, y)
+                for x, y in sorted(found)]
+        return [row for row in rows if row[0] > 0]
 
     def welcome(self, p, y):
         """A target that warms up must not be pushed over: one slice a run, and only one that it can bear."""
@@ -157,9 +138,8 @@
         theirs = [q for q in sorted(self.holds[y] - self.holds[x]) if self.welcome(q, x)] + [NONE]
         for p in mine:
             for q in theirs:
-                moved = self.amounts[p][False] - self.amounts[q][False]
-                units = self.unit * ((p != NONE) - (q != NONE))
-                benefit = before - abs(memory - 2 * units) - abs(demand - 2 * moved)
+                moved = demand - 2 * (self.amounts[p][False] - self.amounts[q][False])
+                benefit = before - abs(moved) - abs(memory - 2 * self.unit * ((p != NONE) - (q != NONE)))
                 if benefit > 1e-9:
                     found.append((benefit, p, q))
         return found
@@ -175,9 +155,8 @@
         self.settings, self.now, self.orders, self.counter = settings, 0, [], 0
         self.targets = {}  # server -> Target, in the order in which they were met
         self.units = {piece: Unit(piece) for piece in settings.slices}
-        self.whole = None if settings.slices else Unit(face.Slice(0))  # a site without slices has one table
-        if self.whole:
-            self.whole.ours, self.units[self.whole.slice] = True, self.whole
+        self.whole = None if settings.slices else Unit(face.Slice(0), True)  # without slices: one table
+        self.units |= {self.whole.slice: self.whole} if self.whole else {}
         self.joined = {}  # proxy -> deque of (mark, lines, time) not yet applied
         self.shut = {}  # targets that joined proxies are told to keep away from, in order
         self.wake_at = self.judge_at = self.sent_at = self.marks = 0
@@ -192,8 +171,7 @@
             self.run_at = self.full_at = now + RUN_FIRST
             self.orders += [face.Observe(True)] if self.settings.asks_roster else []
         for event in events:
-            if type(event) in self.HANDLERS:
-                self.HANDLERS[type(event)](self, event)
+            getattr(self, f"on_{type(event).__name__.lower()}", lambda event: None)(event)
         if now >= self.wake_at:
             self.wake_at = now + BEAT
             self.orders.append(face.Wake(self.wake_at))
@@ -209,12 +187,8 @@
         self.counter += 1
         return zlib.crc32(b"%d %d" % (self.settings.seed, self.counter)) / 2**32
 
-    # What comes in.
-
     def target(self, server):
-        if server not in self.targets:
-            self.targets[server] = Target(server)
-        return self.targets[server]
+        return self.targets.get(server) or self.targets.setdefault(server, Target(server))
 
     def step(self, tgt, what, figures=""):
         mode, effect = MODES.get((tgt.mode, what)) or MODES.get(("any", what)) or (tgt.mode, None)
@@ -232,32 +206,29 @@
     def on_roster(self, event):
         if event.how == "failed":
             return self.orders.append(face.Observe(True))
-        listed = [self.target(entry.server) for entry in event.entries]
-        for tgt, entry in zip(listed, event.entries):
+        for entry in event.entries:
+            tgt = self.target(entry.server)
             tgt.weight = max(entry.weight, 1e-6)
             fresh, tgt.started = entry.started > tgt.started, max(entry.started, tgt.started)
             if entry.state != "ready":
                 self.step(tgt, "leave", entry.state)
-            elif fresh and self.warmth(tgt) < 1:
-                # A crash shorter than the list's delay brings a server back cold with its whole old load.
+            elif fresh and self.warmth(tgt) < 1:  # its old load may still be there
                 self.step(tgt, "started", f"{(self.now - tgt.started) / 1e9:.1f}s ago")
             elif tgt.mode in ("unknown", "leaving"):
                 self.step(tgt, "ready")
-        for tgt in self.targets.values():
-            if event.how != "delta" and tgt not in listed:
-                self.step(tgt, "leave", "gone from the list")
+        listed = {entry.server for entry in event.entries} if event.how != "delta" else self.targets
+        for tgt in [tgt for server, tgt in self.targets.items() if server not in listed]:
+            self.step(tgt, "leave", "gone from the list")
 
     def on_joined(self, event):
         self.joined[event.proxy] = deque()
-        if self.whole:
-            self.orders.append(face.Bind(self.whole.slice, event.proxy))
+        self.orders += [face.Bind(self.whole.slice, event.proxy)] if self.whole else []
 
     def on_left(self, event):
         self.joined.pop(event.proxy, None)
 
     def on_given(self, event):
-        self.units[event.slice] = unit = Unit(event.slice)
-        unit.ours, unit.since, self.stir = event.ours, self.now, True
+        self.units[event.slice], self.stir = Unit(event.slice, event.ours, self.now), True
 
     def on_held(self, event):
         unit, tgt = self.units[event.slice], self.target(event.server)
@@ -266,33 +237,35 @@
 
     def on_heard(self, event):
         tgt = self.target(event.server)
-        latency = (event.tries - event.unanswered) * event.latency
-        tgt.heard.add(self.now, event.span, event.tries, event.unanswered, latency)
+        answered = max(0, event.tries - event.unanswered)
+        # A dead process's sums come late, and must not condemn the one that follows it.
+        lost = event.unanswered if self.now - event.span - TURN > tgt.started else 0
+        tgt.heard.add(self.now, event.span, answered + lost, lost, answered * event.latency)
         signs = [value < QUIET[name] for name, value in event.load.items() if name in QUIET]
         tgt.heard_at, tgt.idle = self.now, bool(signs) and all(signs)
-        if latency > event.latency > COLD_LATE * self.ops[0].objective and not tgt.idle:
+        tgt.full = event.load.get("util", tgt.full)
+        if lost > max(1, SUSPECT * event.tries) and tgt.mode not in CLOSED and self.now > tgt.asked + SECOND:
+            tgt.asked = self.now  # the sums of a death come late and by halves: a question tells at once
+            self.orders += [face.Probe(tgt.server)] if self.settings.probes else []
+        if answered > 1 and event.latency > COLD_LATE * self.ops[0].objective and not tgt.idle:
             self.step(tgt, "strained")  # two late answers: a jam at a cold server feeds on its own retries
 
+    def on_probed(self, event):
+        if event.status in ("connect_failed", "timeout", "reset"):
+            self.target(event.server).mute = self.now
+
     def on_demand(self, event):
-        if not event.slice:
-            return
-        unit, tries = self.units[event.slice], event.tries
-        if event.unanswered > 0.2 * tries and unit.rate:
-            # A retry storm in these sums must not read as demand that calls for copies.
+        unit, tries = self.units.get(event.slice) or self.whole, event.tries
+        if event.unanswered > 0.2 * tries and unit.rate:  # a retry storm is no demand that calls for copies
             tries = min(tries, unit.rate * event.span / SECOND)
         unit.came.add(self.now, event.span, tries, event.tries)
         unit.told_at = self.now
 
     def on_applied(self, event):
         waiting = self.joined.get(event.proxy, ())
-        while waiting and waiting[0][0] <= event.number:
+        while any(number == event.number for number, *_ in waiting):  # an answer to no mark confirms nothing
             waiting.popleft()
 
-    HANDLERS = {face.Roster: on_roster, face.Joined: on_joined, face.Left: on_left, face.Given: on_given,
-                face.Held: on_held, face.Heard: on_heard, face.Demand: on_demand, face.Applied: on_applied}
-
-    # Figures.
-
     def warmth(self, tgt):
         """The part of its capacity that a server surely has: evenly from the cold share to all of it."""
         age = 0 if tgt.mode == "trial" else self.now - tgt.started if tgt.started else self.settings.warm_up
@@ -319,20 +292,18 @@
             unit.press = max(unit.rate, unit.came.total(end, RECENT)[1] / min(RECENT, age))
 
     def loads(self, quota):
-        """Demand by unit (usual, tender), and load less quota by target; others' slices lie evenly."""
+        """Demand by unit (usual, tender), and load less quota by target; others' slices lie as reported."""
         units = self.ours()
         share = len(units) / max(1, len(self.units))
         scale = sum(quota.values()) * share / max(sum(unit.rate for unit in units), 1e-9)
+        gap = {tgt: part * (tgt.extra - share) for tgt, part in quota.items()}
         # A slice may grow hot before its smoothed demand tells, and a storm's repeats fell a cold server too.
         amounts = {unit: (unit.rate * scale, unit.press / (self.proven or 1 / scale)) for unit in units}
-        gap = {tgt: -part * share for tgt, part in quota.items()}
         for unit in units:
             for tgt in unit.want.keys() & gap.keys():
                 gap[tgt] += amounts[unit][tgt.mode in TENDER] / len(unit.want)
         return amounts, gap
 
-    # Slices that must move now.
-
     def evacuate(self):
         """Slices leave dead, draining and condemned servers at once; no table stays empty if it can be."""
         for unit in self.ours():
@@ -348,19 +319,23 @@
             unit.want[best] = 1.0
             gap[best] += amounts[unit][best.mode in TENDER]
 
-    # What is weighed now and then.
-
     def beat(self):
         for tgt in self.targets.values():
-            if tgt.mode == "cold" and self.warmth(tgt) >= 1:
-                self.step(tgt, "warm")
-            elif tgt.mode == "out" and self.now >= tgt.until:
-                self.step(tgt, "due")
+            if tgt.mode == "cold" and self.warmth(tgt) >= 1 or tgt.mode == "out" and self.now >= tgt.until:
+                self.step(tgt, "warm" if tgt.mode == "cold" else "due")
+        mute = {tgt: "no answer to a question" for tgt in self.targets.values()
+                if tgt.mute > self.now - SECOND and tgt.mode not in CLOSED}
+        if any(tgt.mute < self.now - BEAT for tgt in mute):  # those of one cut are mute at one time
+            self.condemn(mute)
         if self.now < self.judge_at:
             return
         self.judge_at = self.now + SECOND
         self.measure()
         self.judge()
+        # With new ids all day what is gone must leave nothing behind; named again, it is unknown.
+        held = {tgt for unit in self.units.values() for tgt in (*unit.have, *unit.want)} | self.shut.keys()
+        self.targets = {server: tgt for server, tgt in self.targets.items()
+                        if tgt.mode not in ("unknown", "leaving") or tgt in held}
         self.evacuate()
         if self.whole:  # one table of all open servers, by quota in steps
             self.whole.want = {tgt: max(1, round(share / 10)) for tgt, share in self.quotas().items()}
@@ -369,48 +344,67 @@
             self.full_at = self.now + RUN_EVERY if full else self.full_at
             self.run(full)
 
-    def judge(self):
-        """Against peers of the same time; many that fail at once are crowded or fail at one operation."""
-        shares, answered = {}, 0
+    def judge(self):  # against peers of the same time
+        shares, dead, answered = {}, {}, 0
         for tgt in self.targets.values():
-            tries, unanswered, latency = tgt.heard.total(tgt.heard_at, RECENT)
+            (tries, unanswered, latency), last = (tgt.heard.total(tgt.heard_at, t) for t in (RECENT, LAST))
             fresh, good = self.now - tgt.heard_at < TURN, tries - unanswered
             answered += good * fresh
             if fresh:
                 tgt.late = latency / good / HARD_LATE / self.ops[0].objective if good > 1 else tgt.late * FADE
             if tries >= ENOUGH and tgt.mode not in CLOSED and fresh:
-                shares[tgt] = unanswered / tries
-        strains = {tgt: max(share / HARD_SHARE, tgt.late) for tgt, share in shares.items()}
+                shares[tgt] = tgt.part = unanswered / tries
+                # A jam comes with late answers first; what dies or hangs falls silent out of good health.
+                if last[0] >= ENOUGH and last[1] >= DEAD * last[0] and tgt.late < 1:
+                    dead[tgt] = f"{last[1] / last[0]:.2f} unanswered"
         part = sum(self.quotas().values()) * len(self.ours()) / len(self.units)
         self.proven = max(self.proven, answered / RECENT / max(part, 1))
+        strains = {tgt: max(share / HARD_SHARE, tgt.late) for tgt, share in shares.items()}
         usual = sorted([*strains.values(), 0.0])[(len(strains) + 1) // 4]
-        modes = [tgt.mode for tgt in self.targets.values()]
-        # A jam comes with late answers first; what dies or hangs falls silent out of good health.
-        dead = [tgt for tgt, share in shares.items() if share >= DEAD and tgt.late < 1]
-        alone = len(dead) + modes.count("out") <= OUT_MOST * modes.count("fit")
+        self.condemn(dead)
         for tgt, share in shares.items():
-            if tgt in dead and (alone or tgt.mode == "trial"):
-                self.step(tgt, "failing", f"{share:.2f} unanswered, {len(dead)} such")
-            elif tgt.mode == "trial" and share < HARD_SHARE:
+            if tgt.mode == "trial" and share < HARD_SHARE:
                 self.step(tgt, "sound", f"{share:.2f} unanswered")
             self.relent(tgt, strains[tgt], usual)
         late = [0.0, *(0.0 if tgt.idle else tgt.late for tgt in shares)]
         self.fleet.late = sorted(late)[len(late) // 2]
         self.relent(self.fleet, self.fleet.late if self.fleet.late > 1 else 0, 0)
+        self.weigh()
+
+    def condemn(self, dead):
+        """Many that fail at once are crowded, cut off from us, or fail at one operation."""
+        modes = [tgt.mode for tgt in self.targets.values()]
+        alone = len(dead) + modes.count("out") <= OUT_MOST * modes.count("fit")
+        for tgt, why in dead.items():
+            if alone or tgt.mode == "trial":
+                self.step(tgt, "failing", f"{why}, {len(dead)} such")
+
+    def weigh(self):
+        """What servers report of their load beyond what our slices explain: those of other pilots, and what a
+        slow server makes of ours.  Each pilot mends its share of it, lest all mend it twice."""
+        quota, share = self.quotas(), len(self.ours()) / len(self.units)
+        gap = self.loads(quota)[1]
+        full = {tgt: tgt.full * min(FULLER, max(1, tgt.late)) for tgt in quota
+                if tgt.full is not None and self.now - tgt.heard_at < TURN}
+        mean = sum(full[tgt] * quota[tgt] for tgt in full) / max(1, sum(quota[tgt] for tgt in full))
+        for tgt in quota:
+            if tgt not in full:
+                tgt.extra *= FADE
+            elif self.now > tgt.moved + TURN:  # else the report is of before the move
+                extra = share * (full[tgt] - mean * (1 + gap[tgt] / quota[tgt] - tgt.extra))
+                # Who fails at once, or has just started, only seems to have room.
+                least = 0.0 if tgt.mode in TENDER or tgt.part > HARD_SHARE / 2 else -EXTRA_MOST
+                tgt.extra += (max(least, min(EXTRA_MOST, extra)) - tgt.extra) / 2
 
     def relent(self, tgt, strain, usual):
-        """A server worse off than its peers bears less than is listed: slow, crowded, cut off for some or
-        failing at some operation.  Late work is lost: where it is late, less of the cheapest is let in."""
+        """A server worse off than its peers bears less; where it is late, less of the cheapest is let in."""
         if strain > max(CROWDED, WORSE * usual) and self.now >= tgt.hold:
             tgt.bears, tgt.hold = max(BEARS_LEAST, tgt.bears * BEARS_DOWN), self.now + HOLD
             if tgt.late > 1 and not tgt.idle:
                 tgt.level = max(LEVEL_LEAST, tgt.level * max(LEVEL_DOWN, 1 / tgt.late))
-        if strain < CROWDED / 2:
-            tgt.bears = min(1.0, tgt.bears + BEARS_UP)
-        if tgt.late < 2 / 3:
-            tgt.level = min(1.0, tgt.level + LEVEL_UP)
-
-    # The mechanism.
+        well = tgt.idle and tgt.full is not None and tgt.part < HARD_SHARE / 2
+        tgt.bears = min(1.0, tgt.bears + BEARS_UP * (strain < CROWDED / 2 or well))
+        tgt.level = min(1.0, tgt.level + LEVEL_UP * (tgt.late < 2 / 3))
 
     def run(self, full):
         """A full run also tries servers that warm up and are empty; a short one looks after load alone."""
@@ -423,17 +417,14 @@
         tgts = list(quota)
         for unit in units:
             self.count(unit, demand[unit][False] / 100, 1 if self.settings.exclusive else len(tgts), full)
-        share = len(units) / len(self.units)
+        share, memory = len(units) / len(self.units), MEMORY * 100 * len(tgts) / len(self.units)
         amounts = [[part / unit.copies for part in demand[unit]] for unit in units] + [[0.0, 0.0]]
-        memory = MEMORY * 100 * len(tgts) / len(self.units)
         old = [{p for p, unit in enumerate(units) if tgt in unit.want} for tgt in tgts]
         tender = {x: share * quota[t] for x, t in enumerate(tgts) if t.mode in TENDER}
         room = [len(held) * memory - MEMORY * share * quota[tgt] for held, tgt in zip(old, tgts)]
         given = old, room, [*gap.values()], amounts, memory, tender, [tgt.gained for tgt in tgts]
-        widest = Partition(*given).worst(empty)
-        self.dev = max(DEV, self.dev - STEP)  # what could not be mended may be by now
-        settled = all(len(unit.want) == unit.copies for unit in units)
-        if settled and widest <= self.dev + BAND:
+        widest, self.dev = Partition(*given).worst(empty), max(DEV, self.dev - STEP)
+        if widest <= self.dev + BAND and all(len(unit.want) == unit.copies for unit in units):
             return
         best = None  # a candidate that fits a smaller deviation wins, then one with fewer changed placements
         for i in range(SOLUTIONS):
@@ -452,8 +443,7 @@
             if chosen and set(chosen) != set(unit.want):
                 unit.want = dict.fromkeys(chosen, 1.0)
 
-    def count(self, unit, demand, most, full):
-        """The copies rule: one more above beta of the mean, one less after some runs under half of that."""
+    def count(self, unit, demand, most, full):  # the copies rule
         while unit.copies < most and demand / unit.copies > BETA:
             unit.copies += 1
         unit.low = unit.low + full if unit.copies > 1 and demand / (unit.copies - 1) < BETA / 2 else 0
@@ -464,10 +454,10 @@
         """Drop copies where there is least room, and add them where there is most."""
         for p, unit in enumerate(units):
             if len(unit.want) != unit.copies:
-                has = [x for x, held in enumerate(part.holds) if p in held]
-                has.sort(key=part.demand.__getitem__)
-                free = [x for x in range(len(part.holds)) if x not in has and part.welcome(p, x)]
-                free.sort(key=lambda x: part.demand[x] + 20 * self.draw())
+                load = part.demand
+                has = sorted((x for x, held in enumerate(part.holds) if p in held), key=load.__getitem__)
+                free = sorted((x for x in range(len(load)) if x not in has and part.welcome(p, x)),
+                              key=lambda x: load[x] + 20 * self.draw())
                 for x in has[unit.copies:]:
                     part.put(p, x, -1)
                 for x in free[:max(0, unit.copies - len(has))]:
@@ -489,8 +479,6 @@
                 return True
         return False
 
-    # The channel.
-
     def send(self):
         """Urgent orders first, then what the channel surely takes; removals lead, nothing is said twice."""
         limits, proxies = self.settings, len(self.joined)
@@ -503,8 +491,10 @@
             return
         # A zone's slices can fill the channel past the grace: one line a proxy shuts a server out before.
         stale = dict.fromkeys(tgt for unit in self.ours() for tgt in unit.have if tgt not in unit.want)
+        named = {tgt for unit in self.ours() for tgt in unit.have}
         shut = [tgt for tgt in stale if tgt.mode == "leaving" and tgt not in self.shut]
-        back = [tgt for tgt in self.shut if tgt.mode not in CLOSED and tgt not in stale]
+        back = [tgt for tgt in self.shut
+                if (changed and tgt not in named if tgt.mode in CLOSED else tgt not in stale)]
         self.shut = {tgt: None for tgt in [*self.shut, *shut] if tgt not in back}
         lines = [face.Withdraw(tgt.server, tgt in shut) for tgt in shut + back]
         level = self.let_in([self.fleet])
@@ -523,6 +513,8 @@
             if cost + proxies * len(delta) <= room:
                 cost += proxies * len(delta)
                 lines += delta
+                for tgt in unit.have.keys() ^ unit.want.keys():
+                    tgt.moved = self.now
                 unit.have, unit.level = dict(unit.want), level
         if not lines:
             return
@@ -533,9 +525,8 @@
         self.sent_at = self.now
 
     def let_in(self, tgts):
-        """The level of what stays on some servers, in steps, since each costs a line at each proxy."""
-        levels = [tgt.level for tgt in tgts] if self.settings.admits_by == "share" else []
-        return round(5 * min(levels, default=1.0)) / 5
+        levels = (tgt.level for tgt in tgts if self.settings.admits_by == "share")
+        return round(5 * min(levels, default=1.0)) / 5  # in steps, since each costs a line at each proxy
 
     def urgent(self, unit):
         """2: it must leave a drained server, 1: one in bad health; a waiting change may still name one."""
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -184,8 +184,8 @@
 def test_the_widest_pair_is_found_without_a_look_at_each():
     memory, demand = [0, 9, -3, 4, -8, 1, 2], [5, -40, 7, 33, -2, 30, -39]
     part = Partition([set()] * 7, memory, demand, [], 1, {}, [0] * 7)
-    every = [(part.deviation(x, y), x, y) for x in range(7) for y in range(x + 1, 7)]
-    assert max(part.pairs())[0] == max(every)[0]
+    assert max(part.pairs())[0] == max(abs(memory[x] - memory[y]) + abs(demand[x] - demand[y])
+                                       for x in range(7) for y in range(7))
 
 
 @pytest.mark.parametrize("failing, condemned", [
@@ -288,6 +288,109 @@
     assert fleet.servers[2] not in table
 
 
+def report(fleet, number, tries, unanswered, **load):
+    return face.Heard(0, fleet.servers[number], tries, unanswered, fleet.latency, SECOND, load)
+
+
+@pytest.mark.parametrize("status, unanswered, out", [
+    ("connect_failed", 4, True), ("timeout", 4, True), ("reset", 4, True), ("ok", 4, False),
+    ("full", 4, False), ("error", 4, False), ("connect_failed", 1, False)])
+def test_a_server_that_leaves_tries_unanswered_is_asked_and_its_silence_condemns_it(status, unanswered, out):
+    """Sums tell of a death by halves and seconds late; proxies went on calling dead servers for four."""
+    fleet = Fleet(slices=24, probes=True)
+    fleet.run(5)
+    orders = fleet.say(report(fleet, 1, 10, unanswered))
+    assert (face.Probe(fleet.servers[1]) in orders) == (unanswered > 3)
+    fleet.say(face.Probed(fleet.servers[1], status, 0, {}) if unanswered > 3 else face.Woke(0))
+    fleet.run(1, sums=False)
+    assert bool(fleet.holds(fleet.servers[1])) != out
+
+
+def test_where_many_are_mute_at_once_the_pilot_is_cut_off_and_condemns_nobody():
+    fleet = Fleet(servers=6, slices=24, probes=True)
+    fleet.run(5)
+    for number in range(3):
+        fleet.say(report(fleet, number, 10, 8))
+        fleet.say(face.Probed(fleet.servers[number], "timeout", 0, {}))
+    fleet.run(1, sums=False)
+    assert all(fleet.holds(server) for server in fleet.servers)
+
+
+def test_without_leave_to_ask_nobody_is_asked():
+    fleet = Fleet(slices=24)
+    fleet.run(5)
+    assert not any(isinstance(order, face.Probe) for order in fleet.say(report(fleet, 1, 10, 8)))
+
+
+def test_a_dead_process_s_sums_do_not_condemn_the_one_that_follows_it():
+    """They come late: four servers went out a second after their return, for eight more."""
+    fleet = Fleet(servers=8, slices=24, demand=8)
+    fleet.run(5)
+    fleet.say(fleet.roster(s1="gone"))
+    fleet.run(2)
+    fleet.say(fleet.roster(s1=("ready", fleet.now - 2 * SECOND)), report(fleet, 1, 40, 40))
+    fleet.run(2)
+    assert fleet.pilot.target(fleet.servers[1]).mode == "cold"
+    fleet.now += 4 * SECOND
+    fleet.say(report(fleet, 1, 40, 40))
+    fleet.run(1, sums=False)
+    assert fleet.pilot.target(fleet.servers[1]).mode == "out"
+
+
+def test_a_server_that_others_fill_gets_less_of_ours_and_an_idle_one_more():
+    """Two pilots spread their slices without a look at each other's: some servers jammed, others idled."""
+    fleet = Fleet(servers=6, slices=48)
+    fleet.run(12)
+    before = [len(fleet.holds(server)) for server in fleet.servers]
+    for _ in range(25):
+        fleet.run(1)
+        fleet.say(*[report(fleet, number, 2, 0, util=(0.2, 0.7, 0.7, 0.7, 0.7, 1.2)[number])
+                    for number in range(6)])
+    after = [len(fleet.holds(server)) for server in fleet.servers]
+    assert after[0] > before[0] and after[5] < before[5] and sum(after) == sum(before)
+
+
+def test_a_server_that_fails_at_once_only_seems_to_have_room():
+    """Its errors cost it nothing, so it reports to be idle; more slices would all be lost."""
+    fleet = Fleet(servers=6, slices=48)
+    fleet.run(12)
+    before = len(fleet.holds(fleet.servers[0]))
+    fleet.failing = {fleet.servers[0]: 0.5}
+    for _ in range(25):
+        fleet.run(1)
+        fleet.say(*[report(fleet, number, 2, number == 0, util=0.9 * (number > 0)) for number in range(6)])
+    assert len(fleet.holds(fleet.servers[0])) <= before
+
+
+def test_an_answer_to_no_mark_confirms_nothing():
+    fleet = Fleet(slices=24)
+    fleet.run(5)
+    fleet.say(fleet.roster(s1="gone"))
+    waiting = fleet.pilot.joined[fleet.proxies[0]]
+    held = len(waiting)
+    for number in (0, 65535, 10**12):
+        fleet.say(face.Applied(fleet.proxies[0], number, 0))
+    assert held == len(waiting) > 0
+    fleet.say(face.Applied(fleet.proxies[0], fleet.marks[-1], 0))
+    assert not waiting
+
+
+def test_servers_that_come_and_go_all_day_leave_nothing_behind():
+    fleet = Fleet(servers=6, slices=24, warm_up=2 * SECOND)
+    fleet.run(5)
+    for n in range(300):
+        gone = fleet.servers.pop(0)
+        fleet.servers.append(face.Server(f"s{6 + n}"))
+        fleet.say(face.Roster("delta", [face.Entry(gone, "draining", 1.0, 0),
+                                        face.Entry(fleet.servers[-1], "ready", 1.0, fleet.now)]))
+        fleet.run(1)
+        fleet.say(face.Roster("delta", [face.Entry(gone, "gone", 1.0, 0)]),
+                  face.Heard(0, gone, 9, 9, 0, 1, {}))
+        fleet.run(2)
+    assert len(fleet.pilot.targets) <= 8 and len(fleet.shut) <= 2 and len(fleet.pilot.shut) <= 2
+    assert all(set(table) <= set(fleet.servers) for table in fleet.tables.values())
+
+
 def test_each_mode_answers_or_refuses_each_input():
     modes = {mode for mode, _ in MODES} | {mode for mode, _ in MODES.values()}
     assert modes == {"any", "unknown", "fit", "cold", "trial", "out", "leaving"}
