Servers that are gone are forgotten everywhere; spoilt rows cost themselves; a lean start

At fault: Registry's plain dictionaries (now weak ones: the decisions alone hold a server), roster.rows, Calls.done, the module-level typer. The platform's own 'serve' loads no typer; structlog finds no rich.

--- a/flintreach/__main__.py
+++ b/flintreach/__main__.py
@@ -1,14 +1,8 @@
-"""The command line: serve, version, check-config."""
+"""The command line: serve, version, check-config.  Each loads only what it uses."""
 
 import sys
 from pathlib import Path
 
-import typer
-
-app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
-                  help="flintreach: the pilot behind a layer of plain proxies.")
-CONFIG = typer.Option(None, "--config", help="The configuration; PROXY_CONFIG names it otherwise.")
-
 
 def configured(path: Path | None):
     from flintreach.net import config
@@ -16,33 +10,45 @@
     try:
         return config.load(str(path) if path else None)
     except config.ConfigError as error:
-        typer.echo(f"flintreach: {error}", err=True)
-        raise typer.Exit(2) from None
+        print(f"flintreach: {error}", file=sys.stderr)
+        sys.exit(2)
 
 
-@app.command()
-def serve(config: Path = CONFIG) -> None:
-    """Run one pilot until SIGTERM or SIGINT."""
+def run(path: Path | None):
     from flintreach.net import run
 
-    sys.exit(run.run(configured(config)))
+    sys.exit(run.run(configured(path)))
+
+
+def commands():
+    import typer
+
+    app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
+                      help="flintreach: the pilot behind a layer of plain proxies.")
+    option = typer.Option(None, "--config", help="The configuration; PROXY_CONFIG names it otherwise.")
 
+    @app.command()
+    def serve(config: Path = option) -> None:
+        """Run one pilot until SIGTERM or SIGINT; SIGHUP reads the configuration again."""
+        run(config)
 
-@app.command()
-def version() -> None:
-    """Print the version."""
-    from flintreach import __version__
+    @app.command()
+    def version() -> None:
+        """Print the version."""
+        from flintreach import __version__
 
-    typer.echo(__version__)
+        typer.echo(__version__)
 
+    @app.command("check-config")
+    def check_config(config: Path = option) -> None:
+        """Read the configuration as serve does, and say what it holds."""
+        told = configured(config)
+        typer.echo(f"{told.name}: {len(told.settings.slices)} slices, {told.settings.proxies} proxies, "
+                   f"{len(told.settings.operations)} operations; listens at {told.listen}")
 
-@app.command("check-config")
-def check_config(config: Path = CONFIG) -> None:
-    """Read the configuration as serve does, and say what it holds."""
-    told = configured(config)
-    typer.echo(f"{told.name}: {len(told.settings.slices)} slices, {told.settings.proxies} proxies, "
-               f"{len(told.settings.operations)} operations; listens at {told.listen}")
+    return app
 
 
 if __name__ == "__main__":
-    app()
+    # The platform's own start: with a part of a core, loading typer would keep the pilot away for longer.
+    run(None) if sys.argv[1:] == ["serve"] else commands()()
--- a/flintreach/interface.py
+++ b/flintreach/interface.py
@@ -9,7 +9,7 @@
 SECOND = 1_000_000_000
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, weakref_slot=True)
 class Server:
     """A machine's process as the roster names it; it keeps its object over restarts."""
 
--- a/flintreach/net/clients.py
+++ b/flintreach/net/clients.py
@@ -135,10 +135,11 @@
         told = {names.get(name, name): figure(value, limits.load) for name, value in load.items()}
         if type(message["target"]) is not str:
             raise ValueError("a name is no text")
-        if message["target"] not in known:  # it must not join the roster by a report
+        server = known.get(message["target"])
+        if server is None:  # gone or never listed: a report must not bring it to the roster
             return self.service.count("report on an unknown endpoint")
         load = {name: told[name] for name in self.service.settings.load_fields if name in told}
-        self.service.event(face.Heard(zone, known[message["target"]], tries, unanswered, latency, span, load))
+        self.service.event(face.Heard(zone, server, tries, unanswered, latency, span, load))
 
     def demand(self, message: dict) -> None:
         tries, unanswered, span = self.tries(message)
--- a/flintreach/net/config.py
+++ b/flintreach/net/config.py
@@ -62,7 +62,8 @@
             zones={name: place for place, name in enumerate(nested.get("areas", ()))},
             kinds={name: place for place, name in enumerate(nested.get("machine_types", ()))})
         if config.known:
-            roster.rows(config.known, config)
+            for row in config.known["endpoints"]:
+                roster.entry(row, config)
         return config
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
--- a/flintreach/net/limits.py
+++ b/flintreach/net/limits.py
@@ -25,7 +25,7 @@
     span: int = 600 * SECOND  # and its longest time
     load: float = 1e6  # the largest figure of a load report
     call_bytes: int = 60_000  # of orders in one call
-    call_wait: int = 300 * MS  # for a call's answer
+    call_wait: int = 150 * MS  # for a call's answer, which comes within 50 ms or never
     dial_wait: int = 400 * MS
     grace: int = 20 * MS  # to read what came during a stall, before a time limit counts
     retry_first: int = 20 * MS  # first pause after a failure; doubles to the longest
--- a/flintreach/net/relay.py
+++ b/flintreach/net/relay.py
@@ -10,8 +10,9 @@
 from flintreach.net.buffer import Buffer, Overflow
 from flintreach.net.http import Connection
 from flintreach.net.limits import MS
-from flintreach.net.reading import UNREADABLE, figure, objects
+from flintreach.net.reading import UNREADABLE, figure, objects, whole
 
+ERRORS = ("BUSY", "SYNTAX")
 # State of the calls, input, next state.  A pair that is not here changes nothing.
 STATES = {
     ("free", "call"): "calling",
@@ -107,9 +108,12 @@
             try:
                 answer = json.loads(body)
                 error = answer.get("error")
-                taken = None if error else int(figure(answer["taken"]))
+                if error is None:
+                    taken = whole(answer["taken"], len(self.flight) + 1)
+                elif error not in ERRORS and (status < 400 or type(error) is not str):
+                    raise ValueError("spoilt")
             except UNREADABLE:
-                how = "garbled"
+                how, error = "garbled", None
         if error == "SYNTAX":  # it would be turned back for ever
             self.service.log.error("call not understood", orders=len(self.flight))
             taken = len(self.flight)
--- a/flintreach/net/roster.py
+++ b/flintreach/net/roster.py
@@ -5,38 +5,44 @@
 from flintreach import interface as face
 from flintreach.net.http import Connection, address
 from flintreach.net.limits import MS
-from flintreach.net.reading import UNREADABLE, figure
+from flintreach.net.reading import UNREADABLE, figure, whole
 
 STATES = {"up": "ready", "draining": "draining", "removed": "gone"}
 PATH = "/discovery/hosts"
 
 
-def rows(answer: dict, config) -> list[tuple]:
-    """What an answer lists; all of it is read before any of it counts."""
-    found = []
-    for row in answer["endpoints"]:
-        if not isinstance(row["name"], str):
-            raise ValueError("a name is no text")
-        address(row["address"])
-        found.append((row["name"], row["address"], config.zones[row["zone"]],
-                      config.kinds.get(row.get("type"), 0), int(row.get("group", 0)), STATES[row["status"]],
-                      float(figure(row.get("weight", 1.0))), int(figure(row.get("since_ms", 0)) * MS)))
-    return found
+def entry(row: dict, config) -> tuple:
+    """What a row lists; all of it is read before any of it counts."""
+    if not isinstance(row["name"], str):
+        raise ValueError("a name is no text")
+    address(row["address"])
+    return (row["name"], row["address"], config.zones[row["zone"]], config.kinds.get(row.get("type"), 0),
+            whole(row.get("group", 0)), STATES[row["status"]], float(figure(row.get("weight", 1.0))),
+            int(figure(row.get("since_ms", 0)) * MS))
 
 
 class Roster:
     def __init__(self, service):
-        self.service, self.index, self.known = service, None, False
+        self.service, self.index, self.known, self.spoilt = service, None, False, False
         self.connection, self.failures, self.on = None, 0, not service.settings.asks_roster
 
     def read(self, answer: dict, how: str) -> face.Roster:
-        listed = []
-        for name, place, zone, kind, cell, state, weight, started in rows(answer, self.service.config):
+        listed, self.spoilt = [], False
+        for row in answer["endpoints"]:
+            try:
+                name, place, zone, kind, cell, state, weight, started = entry(row, self.service.config)
+            except UNREADABLE as error:
+                self.spoilt = True
+                self.service.count("row of the list not understood", repr(error))
+                continue
             server = self.service.registry.server(name)
             server.zone, server.kind, server.cell = zone, kind, cell
             self.service.servers.addresses[server] = place
             listed.append(face.Entry(server, state, weight, started))
-        return face.Roster(how, listed)
+        if self.spoilt and not listed:
+            raise ValueError("no row is understood")
+        # What a row says that can't be read is not gone: its server stays as it was.
+        return face.Roster("delta" if self.spoilt and how == "full" else how, listed)
 
     def start(self) -> None:
         if self.on and not self.connection:
@@ -77,16 +83,18 @@
             if how != "answered" or status != 200:
                 raise ValueError(f"{how} {status}")
             answer = json.loads(body)
-            index, whole = int(figure(answer["index"])), answer["snapshot"] is True
-            if whole and not answer["endpoints"]:
+            index, full = whole(answer["index"]), answer["snapshot"] is True
+            if full and not answer["endpoints"]:
                 # Believed, it would take every server from every proxy at one word.
                 raise ValueError("an empty list")
-            if not whole and (self.index is None or index < self.index):
+            if not full and (self.index is None or index < self.index):
                 self.index, index = None, None  # it began anew: only the whole list says what holds
             else:
-                event = self.read(answer, "full" if whole else "delta")
+                event = self.read(answer, "full" if full else "delta")
                 if event.entries:
                     self.service.event(event)
+                if self.spoilt and not full:
+                    index = None  # the whole list tells what the spoilt row would have
         except UNREADABLE as error:
             return self.failed(f"{type(error).__name__} {error}")
         self.index, self.failures = index, 0
--- a/flintreach/net/run.py
+++ b/flintreach/net/run.py
@@ -5,11 +5,14 @@
 import signal
 import sys
 
-import structlog
 import uvloop
 
 from flintreach.net.service import Service
 
+# structlog loads rich for a console that we do not have, if it is there: half of the CPU of a start.
+sys.modules.setdefault("rich", None)
+import structlog  # noqa: E402
+
 
 class Sink:
     """Where log lines go.  A reader that hangs or a full disk must not stop the loop: lines are lost then."""
--- a/flintreach/net/servers.py
+++ b/flintreach/net/servers.py
@@ -1,5 +1,7 @@
 """Probes of servers, at the addresses that discovery provides."""
 
+from weakref import WeakKeyDictionary
+
 from flintreach import interface as face
 from flintreach.net.http import Connection
 from flintreach.net.reading import figure
@@ -26,7 +28,7 @@
 
 class Servers:
     def __init__(self, service):
-        self.service, self.addresses, self.open = service, {}, set()
+        self.service, self.addresses, self.open = service, WeakKeyDictionary(), set()
 
     def probe(self, server: face.Server) -> None:
         limits, clock = self.service.limits, self.service.clock
--- a/flintreach/registry.py
+++ b/flintreach/registry.py
@@ -1,20 +1,24 @@
 """Objects by the ids that a protocol gives them; ids stay at the door."""
 
+from weakref import WeakKeyDictionary, WeakValueDictionary
+
 from flintreach import interface as face
 
 
 class Registry:
     def __init__(self, settings: face.Settings):
         self.slices = {piece.number: piece for piece in settings.slices}
-        self.servers: dict[str, face.Server] = {}
-        self.names: dict[face.Server, str] = {}
+        # Servers come under new ids all day: one that nobody holds any more is forgotten.
+        self.servers: WeakValueDictionary[str, face.Server] = WeakValueDictionary()
+        self.names: WeakKeyDictionary[face.Server, str] = WeakKeyDictionary()
         self.proxies: dict[int, face.Proxy] = {}
 
     def server(self, name: str) -> face.Server:
-        if name not in self.servers:
-            self.servers[name] = face.Server(name)
-            self.names[self.servers[name]] = name
-        return self.servers[name]
+        server = self.servers.get(name)
+        if server is None:
+            server = self.servers[name] = face.Server(name)
+            self.names[server] = name
+        return server
 
     def proxy(self, number: int) -> face.Proxy:
         return self.proxies.setdefault(number, face.Proxy(number))
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -227,6 +227,13 @@
     assert client.until(b"\n")
 
 
+def test_the_platforms_start_loads_nothing_that_it_does_not_use():
+    ran = subprocess.run([sys.executable, "-X", "importtime", "-m", "flintreach", "serve"], text=True,
+                         capture_output=True, env=os.environ | {"PROXY_CONFIG": "nowhere"}, timeout=60)
+    assert ran.returncode == 2 and "uvloop" in ran.stderr and "structlog" in ran.stderr
+    assert not any(f" {name}" in ran.stderr for name in ("typer.", "rich.", "pygments."))
+
+
 @pytest.mark.parametrize("arguments, changes, status, words", [
     (["check-config"], {}, 0, "p0: 8 slices, 3 proxies, 2 operations; listens at 127.0.0.1:0"),
     (["check-config"], {"listen": 7}, 2, "flintreach: "),
