A condemned server is shut out first and its lines removed last; a restart's sums start anew

Seen on rude+fleet with the state logged: six servers of thirty crashed at 10.5 s and were condemned at 13.2 to 13.5 s by the new question, yet proxies called them until 20 s: the channel held 6,000 of 10,800 lines from 14 to 20 s, half of them removals; at 22.2 s four of the returned were condemned again. Ruled out: the search (0 to 7 placements a run then), late lists, calls in doubt. At fault: Pilot.send ordered each removal with its new line; on_roster learned of a start after sums of before it had been booked. Now one line a proxy shuts the condemned out, new lines follow, removals wait.

--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -55,9 +55,7 @@
 NONE = -1  # in place of a slice, where a swap is a move; its demand stands last and is 0
 
 
-class Ring:
-    """Sums in buckets of one second that are used again."""
-
+class Ring:  # sums in buckets of one second that are used again
     def __init__(self, size, width):
         self.stamps, self.sums = [-1] * size, [[0] * width for _ in range(size)]
 
@@ -97,9 +95,7 @@
         self.want, self.have = {}, {}  # what its table shall be, and what has been ordered of it
 
 
-class Partition:
-    """A map of units to targets with the gaps between load and quota, kept as it changes."""
-
+class Partition:  # a map of units to targets with the gaps between load and quota, kept as it changes
     def __init__(self, old, memory, demand, amounts, unit, tender, gained):
         self.old, self.holds, self.distance = old, [set(held) for held in old], 0
         self.memory, self.demand, self.gained = memory[:], demand[:], gained[:]  # gaps and gains a target
@@ -213,6 +209,7 @@
             if entry.state != "ready":
                 self.step(tgt, "leave", entry.state)
             elif fresh and self.warmth(tgt) < 1:  # its old load may still be there
+                tgt.heard = Ring(RECENT + 2, 3)
                 self.step(tgt, "started", f"{(self.now - tgt.started) / 1e9:.1f}s ago")
             elif tgt.mode in ("unknown", "leaving"):
                 self.step(tgt, "ready")
@@ -402,12 +399,12 @@
             tgt.bears, tgt.hold = max(BEARS_LEAST, tgt.bears * BEARS_DOWN), self.now + HOLD
             if tgt.late > 1 and not tgt.idle:
                 tgt.level = max(LEVEL_LEAST, tgt.level * max(LEVEL_DOWN, 1 / tgt.late))
-        well = tgt.idle and tgt.full is not None and tgt.part < HARD_SHARE / 2
-        tgt.bears = min(1.0, tgt.bears + BEARS_UP * (strain < CROWDED / 2 or well))
+        if strain < CROWDED / 2 or tgt.idle and tgt.full is not None and tgt.part < HARD_SHARE / 2:
+            tgt.bears = min(1.0, tgt.bears + BEARS_UP)
         tgt.level = min(1.0, tgt.level + LEVEL_UP * (tgt.late < 2 / 3))
 
     def run(self, full):
-        """A full run also tries servers that warm up and are empty; a short one looks after load alone."""
+        # A full run also tries servers that warm up and are empty; a short one looks after load alone.
         units, quota, empty = self.ours(), self.quotas(), 2 * DEV if full else 0.0
         for tgt in quota:
             tgt.gained = tgt.mode == "cold" and self.now < tgt.hold
@@ -450,8 +447,7 @@
         if unit.low >= LOW_RUNS:
             unit.copies, unit.low = unit.copies - 1, 0
 
-    def recount(self, part, units):
-        """Drop copies where there is least room, and add them where there is most."""
+    def recount(self, part, units):  # copies go where there is least room, and come where there is most
         for p, unit in enumerate(units):
             if len(unit.want) != unit.copies:
                 load = part.demand
@@ -490,9 +486,9 @@
         if self.now < self.sent_at + pace or not (calm or any(urgent for urgent, _ in changed)):
             return
         # A zone's slices can fill the channel past the grace: one line a proxy shuts a server out before.
+        named = dict.fromkeys(tgt for unit in self.ours() for tgt in unit.have)
         stale = dict.fromkeys(tgt for unit in self.ours() for tgt in unit.have if tgt not in unit.want)
-        named = {tgt for unit in self.ours() for tgt in unit.have}
-        shut = [tgt for tgt in stale if tgt.mode == "leaving" and tgt not in self.shut]
+        shut = [tgt for tgt in stale if tgt.mode in ("leaving", "out") and tgt not in self.shut]
         back = [tgt for tgt in self.shut
                 if (changed and tgt not in named if tgt.mode in CLOSED else tgt not in stale)]
         self.shut = {tgt: None for tgt in [*self.shut, *shut] if tgt not in back}
@@ -504,7 +500,10 @@
         cost = proxies * (limits.message_head + 1 + len(lines))
         for urgent, unit in sorted(changed, key=lambda row: -row[0]):  # what can wait rides along
             room = ROOM[urgent] * limits.channel_limit - waiting
-            delta = [face.SetLine(unit.slice, tgt.server, 0) for tgt in unit.have if tgt not in unit.want]
+            # Lines to a server that is shut out can wait: they are half of what a death costs.
+            dead = (tgt for tgt in unit.have if urgent and tgt.mode == "out" and tgt in self.shut)
+            left = {tgt: unit.have[tgt] for tgt in dead} | unit.want
+            delta = [face.SetLine(unit.slice, tgt.server, 0) for tgt in unit.have if tgt not in left]
             delta += [face.SetLine(unit.slice, tgt.server, weight) for tgt, weight in unit.want.items()
                       if unit.have.get(tgt) != weight]
             level = unit.level if urgent else self.let_in(unit.want)  # levels wait where slices must move
@@ -515,7 +514,7 @@
                 lines += delta
                 for tgt in unit.have.keys() ^ unit.want.keys():
                     tgt.moved = self.now
-                unit.have, unit.level = dict(unit.want), level
+                unit.have, unit.level = left, level
         if not lines:
             return
         self.marks = self.marks % 65535 + 1
@@ -529,6 +528,7 @@
         return round(5 * min(levels, default=1.0)) / 5  # in steps, since each costs a line at each proxy
 
     def urgent(self, unit):
-        """2: it must leave a drained server, 1: one in bad health; a waiting change may still name one."""
-        modes = [tgt.mode for tgt in unit.have if tgt not in unit.want]
-        return 2 if "leaving" in modes else 1 if not unit.have or set(modes) - {"fit"} else 0
+        """2: it must leave a drained server or has no other, 1: it must leave one in bad health."""
+        held = unit.have.keys() - self.shut.keys()
+        modes = {tgt.mode for tgt in held - unit.want.keys()}
+        return 2 if "leaving" in modes or not held else bool(modes - {"fit"})
