A level that leaves too little to judge by rises again

Ruled out: the fleet's level (1.0), jams (none there), the channel. At fault: Pilot.judge let only servers with six tries in three seconds regain their level, and at 0.05 there are fewer; what was known of their latency faded only while something was heard.

--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -347,8 +347,8 @@
             (tries, unanswered, latency), last = (tgt.heard.total(tgt.heard_at, t) for t in (RECENT, LAST))
             fresh, good = self.now - tgt.heard_at < TURN, tries - unanswered
             answered += good * fresh
-            if fresh:
-                tgt.late = latency / good / HARD_LATE / self.ops[0].objective if good > 1 else tgt.late * FADE
+            known = fresh and good > 1
+            tgt.late = latency / good / HARD_LATE / self.ops[0].objective if known else tgt.late * FADE
             if tries >= ENOUGH and tgt.mode not in CLOSED and fresh:
                 shares[tgt] = tgt.part = unanswered / tries
                 # A jam comes with late answers first; what dies or hangs falls silent out of good health.
@@ -359,10 +359,10 @@
         strains = {tgt: max(share / HARD_SHARE, tgt.late) for tgt, share in shares.items()}
         usual = sorted([*strains.values(), 0.0])[(len(strains) + 1) // 4]
         self.condemn(dead)
-        for tgt, share in shares.items():
-            if tgt.mode == "trial" and share < HARD_SHARE:
-                self.step(tgt, "sound", f"{share:.2f} unanswered")
-            self.relent(tgt, strains[tgt], usual)
+        for tgt in self.targets.values():  # whose level leaves too little to judge by must not be kept at it
+            if tgt.mode == "trial" and shares.get(tgt, 1) < HARD_SHARE:
+                self.step(tgt, "sound", f"{shares[tgt]:.2f} unanswered")
+            self.relent(tgt, strains.get(tgt, CROWDED / 2), usual)
         late = [0.0, *(0.0 if tgt.idle else tgt.late for tgt in shares)]
         self.fleet.late = sorted(late)[len(late) // 2]
         self.relent(self.fleet, self.fleet.late if self.fleet.late > 1 else 0, 0)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -132,6 +132,19 @@
     assert all(level == 1 for level in fleet.levels.values())
 
 
+@pytest.mark.parametrize("rate", [0, 0.1])
+def test_a_level_that_leaves_too_little_to_judge_by_rises_again(rate):
+    """Five in a hundred were let in for good at idle servers: fewer than six answers told of them."""
+    fleet = Fleet(servers=4, slices=8)
+    fleet.run(8)
+    tgt = fleet.pilot.target(fleet.servers[1])
+    fleet.rates = {piece: rate if fleet.servers[1] in fleet.tables[piece] else 4 for piece in fleet.slices}
+    fleet.run(4)
+    tgt.level, tgt.late = 0.05, 5.0
+    fleet.run(30)
+    assert tgt.level == 1 and all(level == 1 for level in fleet.levels.values())
+
+
 def test_where_all_are_late_one_line_a_proxy_lowers_all_tables():
     """Hundreds of slices' own levels filled the channel, and the fall came half a minute late."""
     fleet = Fleet(servers=8, slices=200, proxies=40)
