Reported load counts less the fuller all servers are; lateness does not swell it

At fault: Pilot.weigh. Under overload all servers report to be full and late, and what was left between them was noise that moved slices.

--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -28,7 +28,7 @@
 OUT_FOR, FORGET = 8 * SECOND, 60 * SECOND  # first time out, doubled by failed trials; these are forgotten
 HARD_SHARE, HARD_LATE = 0.3, 0.4  # parts unanswered, and of the latency objective, that strain a server
 SUSPECT = 0.3  # part of a line unanswered, two at least, from which a server is asked whether it lives
-FULLER, EXTRA_MOST = 2.0, 1.0  # times its report that a late server counts as full; the most that it weighs
+SLACK, EXTRA_MOST = 0.4, 1.0  # room of all servers from which such loads count in full; the most of a quota
 COLD_LATE = 0.5  # of the latency objective in one line, two answers, that empty a cold server
 CROWDED, WORSE = 0.6, 1.5  # strain, as such and by the best quarter's, from which a server is crowded
 BEARS_DOWN, BEARS_UP, BEARS_LEAST = 0.8, 0.05, 0.5  # how a crowded server's quota falls and comes back
@@ -381,14 +381,14 @@
         slow server makes of ours.  Each pilot mends its share of it, lest all mend it twice."""
         quota, share = self.quotas(), len(self.ours()) / len(self.units)
         gap = self.loads(quota)[1]
-        full = {tgt: tgt.full * min(FULLER, max(1, tgt.late)) for tgt in quota
-                if tgt.full is not None and self.now - tgt.heard_at < TURN}
+        full = {tgt: tgt.full for tgt in quota if tgt.full is not None and self.now - tgt.heard_at < TURN}
         mean = sum(full[tgt] * quota[tgt] for tgt in full) / max(1, sum(quota[tgt] for tgt in full))
+        slack = min(1.0, max(0.0, 1 - mean) / SLACK)  # where all are full, what sets them apart is noise
         for tgt in quota:
             if tgt not in full:
                 tgt.extra *= FADE
             elif self.now > tgt.moved + TURN:  # else the report is of before the move
-                extra = share * (full[tgt] - mean * (1 + gap[tgt] / quota[tgt] - tgt.extra))
+                extra = share * slack * (full[tgt] - mean * (1 + gap[tgt] / quota[tgt] - tgt.extra))
                 # Who fails at once, or has just started, only seems to have room.
                 least = 0.0 if tgt.mode in TENDER or tgt.part > HARD_SHARE / 2 else -EXTRA_MOST
                 tgt.extra += (max(least, min(EXTRA_MOST, extra)) - tgt.extra) / 2
