--- a/flintreach/net/service.py
+++ b/flintreach/net/service.py
@@ -11,6 +11,7 @@
 from flintreach.net.config import ConfigError, load
 from flintreach.net.http import address
 from flintreach.net.pilots import Pilots
+from flintreach.net.reading import whole
 from flintreach.net.relay import Calls, News
 from flintreach.net.roster import Roster
 from flintreach.net.servers import Servers
@@ -49,9 +50,7 @@
         return len(self.gathered) >= self.limits.events
 
     def proxy(self, number: int) -> face.Proxy:
-        if type(number) is not int or not 0 <= number < self.settings.proxies:
-            raise ValueError(f"not a proxy: {number!r:.40}")
-        return self.registry.proxy(number)
+        return self.registry.proxy(whole(number, self.settings.proxies))
 
     # The loop.
 
