The swap search keeps its orders of targets and is cut into turns of 20 ms

Need: one full run held the loop for 9.8 s at 1,000 servers, 4,000 proxies and 8,000 slices; no drain left meanwhile.

The gaps stand in sorted rows that are kept as single figures change, candidates share the sets of their map until one changes, free targets are asked to draw only while they can win, and evacuate and send look at what changed alone. A second's work is a generator that tells what its parts cost; beyond 20 ms a turn, all else has its turn first. A late answer counts only for slices and servers that are as they were.

What a line is judged by alone is now told by kind(), so that lines can be summed up.

--- a/flintreach/interface.py
+++ b/flintreach/interface.py
@@ -145,6 +145,7 @@
     latency: int  # mean of those that succeeded; 0: none did
     span: int
     load: dict[str, float]
+    kind: tuple[bool, ...] | None = None  # of the lines that it sums up, by the decisions; None: one line
 
 
 @dataclass(slots=True)
@@ -157,6 +158,8 @@
     tries: int
     unanswered: int
     span: int
+    kind: tuple[bool, ...] | None = None  # as in Heard
+    lines: int = 1  # that it sums up
 
 
 @dataclass(slots=True)
--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -6,8 +6,10 @@
 The mechanism is the "closest" repartitioning of FLEX; see `docs/design.md`.
 """
 
+import copy
 import math
 import zlib
+from bisect import bisect_left, insort
 from collections import deque
 
 from flintreach import interface as face
@@ -27,6 +29,7 @@
 DEAD, OUT_MOST = 0.7, 0.25  # part unanswered of a failing server; of the servers, how many may be taken out
 OUT_FOR, FORGET = 8 * SECOND, 60 * SECOND  # first time out, doubled by failed trials; these are forgotten
 HARD_SHARE, HARD_LATE = 0.3, 0.4  # parts unanswered, and of the latency objective, that strain a server
+STORM = 0.2  # part unanswered of what comes for a slice, from which it is a storm of repeats
 SUSPECT = 0.3  # part of a line unanswered, two at least, from which a server is asked whether it lives
 SLACK, EXTRA_MOST = 0.4, 1.0  # room of all servers from which such loads count in full; the most of a quota
 COLD_LATE = 0.5  # of the latency objective in one line, two answers, that empty a cold server
@@ -36,6 +39,7 @@
 QUIET = {"queue": 1, "util": 0.8}  # reports below which late answers are not a server's own load
 LOST = 10 * SECOND  # then a mark counts as answered: one lost with the news would hold the channel for ever
 HOLD = 2 * SECOND  # between two falls of a quota or a level, so that the sums can show the first
+EFFORT, A_STEP = 20_000, 60  # of a second's work in a turn, of a move or swap: about microseconds of a core
 ROOM = 0.5, 0.55, 0.62  # parts of the channel's limit to fill: with what can wait, bad health, and drains
 
 # What a server is to us, what comes in, what it becomes, and what is done.  A pair that is not here is
@@ -55,6 +59,16 @@
 NONE = -1  # in place of a slice, where a swap is a move; its demand stands last and is 0
 
 
+def kind(line, objective):
+    """What a line of sums is judged by alone: those of one kind may be summed up, and no verdict is lost.
+    Of demand: is it a storm?  Of a server: is it suspect, is it jammed, does nothing wait by its report?"""
+    if isinstance(line, face.Demand):
+        return (line.unanswered > STORM * line.tries,)
+    signs = [value < QUIET[name] for name, value in line.load.items() if name in QUIET]
+    late = line.latency > COLD_LATE * objective and line.tries - line.unanswered > 1  # retries feed a jam
+    return line.unanswered > max(1, SUSPECT * line.tries), late, bool(signs) and all(signs)
+
+
 class Ring:  # sums in buckets of one second that are used again
     def __init__(self, size, width):
         self.stamps, self.sums = [-1] * size, [[0] * width for _ in range(size)]
@@ -96,25 +110,47 @@
 
 
 class Partition:  # a map of units to targets with the gaps between load and quota, kept as it changes
-    def __init__(self, old, memory, demand, amounts, unit, tender, gained):
-        self.old, self.holds, self.distance = old, [set(held) for held in old], 0
-        self.memory, self.demand, self.gained = memory[:], demand[:], gained[:]  # gaps and gains a target
-        self.amounts, self.unit, self.tender = amounts, unit, tender
+    def __init__(self, old, memory, demand, amounts, unit, tender, gained, empty=0.0):
+        self.old, self.holds, self.shared, self.distance = old, old, {*range(len(old))}, 0
+        self.memory, self.demand, self.gained = memory, demand, gained  # gaps and gains a target
+        self.amounts, self.unit, self.tender, self.empty = amounts, unit, tender, empty
+        self.figures = [self.figure(x) for x in range(len(old))]
+        self.orders = [sorted((value, x) for x, value in enumerate(row)) for row in zip(*self.figures)]
+
+    def fork(self):
+        part = copy.copy(self)
+        part.shared, part.orders = {*self.shared}, [rows[:] for rows in self.orders]
+        for name in ("holds", "memory", "demand", "gained", "figures"):
+            setattr(part, name, getattr(self, name)[:])
+        return part
+
+    def figure(self, x):
+        """Sum and difference of the gaps, the demand's, and the load above the quota: where a target warms
+        up, by that quota; empty ones count as told."""
+        w, a, quota = self.memory[x], self.demand[x], self.tender.get(x)
+        above = max(w, a) if quota is None else 50 * a / quota if self.holds[x] else self.empty
+        return w + a, w - a, a, above
 
     def put(self, p, x, sign):  # 1: unit p comes to target x; -1: it leaves
+        if x in self.shared:  # with a map that is kept
+            self.shared.remove(x)
+            self.holds[x] = {*self.holds[x]}
         (self.holds[x].add if sign > 0 else self.holds[x].discard)(p)
         if p not in self.old[x]:
             self.distance += sign
             self.gained[x] += sign
         self.memory[x] += sign * self.unit
         self.demand[x] += sign * self.amounts[p][x in self.tender]
+        before, self.figures[x] = self.figures[x], self.figure(x)
+        for rows, value, fresh in zip(self.orders, before, self.figures[x]):
+            del rows[bisect_left(rows, (value, x))]
+            insort(rows, (fresh, x))
 
     def pairs(self):
         """Rows of (deviation, x, y): the ends by sum and by difference of the gaps hold the widest surely."""
         found = set()
-        for sign in (1, -1):
-            order = sorted(range(len(self.old)), key=lambda x: self.memory[x] + sign * self.demand[x])
-            found.update((min(x, y), max(x, y)) for x in order[:NEAR] for y in order[-NEAR:])
+        for rows in self.orders[:2]:
+            found.update((min(x, y), max(x, y)) for _, x in rows[:NEAR] for _, y in rows[-NEAR:])
         rows = [(abs(self.memory[x] - self.memory[y]) + abs(self.demand[x] - self.demand[y]), x, y)
                 for x, y in sorted(found)]
         return [row for row in rows if row[0] > 0]
@@ -140,10 +176,69 @@
                     found.append((benefit, p, q))
         return found
 
-    def worst(self, empty):
-        """The widest load above a quota; where a target warms up, by that quota; empty ones count as told."""
-        return max((50 * a / self.tender[x] if self.holds[x] else empty) if x in self.tender else max(w, a)
-                   for x, (w, a) in enumerate(zip(self.memory, self.demand)))
+    def worst(self):
+        return self.orders[3][-1][0]
+
+
+class Search:  # for a map near the old one: it knows places alone, so it can run beside the decisions
+    def __init__(self, seed, counter, start, changed):
+        self.seed, self.counter, self.start, self.changed = seed, counter, start, changed
+        self.best, self.widest = None, start.worst()
+
+    def draw(self, ahead=1):
+        return zlib.crc32(b"%d %d" % (self.seed, self.counter + ahead)) / 2**32
+
+    def chance(self, row):
+        self.counter += 1
+        return self.draw(0) ** (1 / row[0])
+
+    def steps(self):
+        """A candidate that fits a smaller deviation wins, then one with fewer changed placements."""
+        size = len(self.start.old)
+        for i in range(SOLUTIONS):
+            yield 2 * size
+            part = self.start.fork()
+            for p, has, copies in self.changed:
+                yield 150
+                self.recount(part, p, has, copies)
+            for _ in range(max(ATTEMPTS, size) + 1):
+                key = max(DEV, STEP * math.ceil(part.worst() / STEP)), part.distance
+                if self.best is None or key < self.best[0]:
+                    self.best, part.shared = (key, part.holds[:]), {*range(size)}
+                if key[0] <= DEV or not self.improve(part, 10 * i < SOLUTIONS):
+                    break
+                yield A_STEP
+
+    def recount(self, part, p, has, copies):
+        """Copies go where there is least room, and come where there is most: all that are free draw, but who
+        can't be among the first is not asked."""
+        load, few = part.demand, copies - len(has)
+        for x in sorted(has, key=load.__getitem__)[copies:]:
+            part.put(p, x, -1)
+        barred = sorted({*has, *(x for x in part.tender if not part.welcome(p, x))})
+        found = []
+        for least, x in part.orders[2]:
+            if len(found) >= few and (few <= 0 or least > found[few - 1][0]):
+                break
+            if x not in barred:
+                insort(found, (least + 20 * self.draw(x - bisect_left(barred, x) + 1), x))
+        self.counter += len(load) - len(barred)
+        for _, x in found[:max(0, few)]:
+            part.put(p, x, 1)
+
+    def improve(self, part, sure):
+        """One move or swap: the best of the widest pair, or drawn by deviation and benefit."""
+        chance = (lambda row: row[0]) if sure else self.chance
+        for _, x, y in sorted(part.pairs(), key=chance, reverse=True):
+            swaps = part.swaps(x, y)  # a tender server is soon full, and its pairs have none
+            if swaps:
+                _, *moved = max(swaps, key=chance)
+                for p, source, goal in zip(moved, (x, y), (y, x)):
+                    if p != NONE:
+                        part.put(p, source, -1)
+                        part.put(p, goal, 1)
+                return True
+        return False
 
 
 class Pilot:
@@ -159,6 +254,7 @@
         self.fleet, self.level = Target(None), 1.0  # as its middle server; the level that is in force
         self.proven = 0.0  # most answers a second seen for a hundredth of a mean server
         self.dev, self.stir = DEV, False  # stir: something came that may want orders at once
+        self.work, self.go_at, self.owed, self.mine = None, 0, 0, None  # a second's work; our units
         self.ops = sorted(settings.operations, key=lambda op: op.billed_value)  # the cheapest first
 
     def handle(self, now, events):
@@ -173,15 +269,24 @@
             self.orders.append(face.Wake(self.wake_at))
             self.beat()
             self.stir = True
+        elif self.work and now >= self.go_at:
+            self.go_on(0 if self.stir else EFFORT)  # what is urgent goes first
         if self.stir:
             self.stir = False
             self.evacuate()
             self.send()
         return self.orders
 
-    def draw(self):
-        self.counter += 1
-        return zlib.crc32(b"%d %d" % (self.settings.seed, self.counter)) / 2**32
+    def go_on(self, effort):
+        """A second's work grows with the fleet: beyond so much a turn, all else has its turn first."""
+        spent = 0
+        while effort and (not spent or spent + self.owed <= effort):  # owed: what the next part costs
+            spent, self.owed = spent + self.owed, next(self.work, None)
+            if self.owed is None:
+                self.work, self.owed, self.stir = None, 0, True
+                return
+        self.go_at = self.now + self.settings.tick
+        self.orders.append(face.Wake(self.go_at))
 
     def target(self, server):
         return self.targets.get(server) or self.targets.setdefault(server, Target(server))
@@ -225,7 +330,7 @@
         self.joined.pop(event.proxy, None)
 
     def on_given(self, event):
-        self.units[event.slice], self.stir = Unit(event.slice, event.ours, self.now), True
+        self.units[event.slice], self.stir, self.mine = Unit(event.slice, event.ours, self.now), True, None
 
     def on_held(self, event):
         unit, tgt = self.units[event.slice], self.target(event.server)
@@ -238,14 +343,14 @@
         # A dead process's sums come late, and must not condemn the one that follows it.
         lost = event.unanswered if self.now - event.span - TURN > tgt.started else 0
         tgt.heard.add(self.now, event.span, answered + lost, lost, answered * event.latency)
-        signs = [value < QUIET[name] for name, value in event.load.items() if name in QUIET]
-        tgt.heard_at, tgt.idle = self.now, bool(signs) and all(signs)
+        suspect, jammed, tgt.idle = event.kind or kind(event, self.ops[0].objective)
+        tgt.heard_at = self.now
         tgt.full = event.load.get("util", tgt.full)
-        if lost > max(1, SUSPECT * event.tries) and tgt.mode not in CLOSED and self.now > tgt.asked + SECOND:
+        if lost and suspect and tgt.mode not in CLOSED and self.now > tgt.asked + SECOND:
             tgt.asked = self.now  # the sums of a death come late and by halves: a question tells at once
             self.orders += [face.Probe(tgt.server)] if self.settings.probes else []
-        if answered > 1 and event.latency > COLD_LATE * self.ops[0].objective and not tgt.idle:
-            self.step(tgt, "strained")  # two late answers: a jam at a cold server feeds on its own retries
+        if jammed and not tgt.idle:
+            self.step(tgt, "strained")
 
     def on_probed(self, event):
         if event.status in ("connect_failed", "timeout", "reset"):
@@ -253,8 +358,9 @@
 
     def on_demand(self, event):
         unit, tries = self.units.get(event.slice) or self.whole, event.tries
-        if event.unanswered > 0.2 * tries and unit.rate:  # a retry storm is no demand that calls for copies
-            tries = min(tries, unit.rate * event.span / SECOND)
+        (storm,) = event.kind or kind(event, 0)
+        if storm and unit.rate:  # repeats are no demand that calls for copies
+            tries = min(tries, unit.rate * event.span / SECOND * event.lines)
         unit.came.add(self.now, event.span, tries, event.tries)
         unit.told_at = self.now
 
@@ -277,11 +383,14 @@
         return {tgt: part * scale for tgt, part in raw.items()}
 
     def ours(self):
-        return [unit for unit in self.units.values() if unit.ours and unit is not self.whole]
+        if self.mine is None:
+            self.mine = [unit for unit in self.units.values() if unit.ours and unit is not self.whole]
+        return self.mine
 
     def measure(self):
         """Rates of our slices, over the smoothing time or what is known of it, and what presses of late."""
         for unit in self.ours():
+            yield 10
             end = max(unit.told_at, self.now - TURN)
             age = max(1, (end - unit.since) / SECOND)
             if unit.told_at:
@@ -297,14 +406,17 @@
         # A slice may grow hot before its smoothed demand tells, and a storm's repeats fell a cold server too.
         amounts = {unit: (unit.rate * scale, unit.press / (self.proven or 1 / scale)) for unit in units}
         for unit in units:
-            for tgt in unit.want.keys() & gap.keys():
-                gap[tgt] += amounts[unit][tgt.mode in TENDER] / len(unit.want)
+            for tgt in unit.want:
+                if tgt in gap:
+                    gap[tgt] += amounts[unit][tgt.mode in TENDER] / len(unit.want)
         return amounts, gap
 
     def evacuate(self):
         """Slices leave dead, draining and condemned servers at once; no table stays empty if it can be."""
+        closed = {tgt for tgt in self.targets.values() if tgt.mode in CLOSED}
         for unit in self.ours():
-            unit.want = {tgt: weight for tgt, weight in unit.want.items() if tgt.mode not in CLOSED}
+            if not closed.isdisjoint(unit.want):
+                unit.want = {tgt: weight for tgt, weight in unit.want.items() if tgt not in closed}
         bare = [unit for unit in self.ours() if not unit.want]
         amounts, gap = self.loads(self.quotas()) if bare else ({}, {})
         for unit in bare if gap else ():
@@ -324,11 +436,17 @@
                 if tgt.mute > self.now - SECOND and tgt.mode not in CLOSED}
         if any(tgt.mute < self.now - BEAT for tgt in mute):  # those of one cut are mute at one time
             self.condemn(mute)
-        if self.now < self.judge_at:
-            return
-        self.judge_at = self.now + SECOND
-        self.measure()
-        self.judge()
+        if self.now >= self.judge_at and not self.work:
+            self.judge_at, self.work = self.now + SECOND, self.second()
+            self.go_on(EFFORT)
+
+    def second(self):
+        """What is done each second; before each part it gives what that costs, in about microseconds."""
+        yield from self.measure()
+        yield from self.judge()
+        yield 2 * len(self.units)
+        self.weigh()
+        yield 2 * len(self.units)
         # With new ids all day what is gone must leave nothing behind; named again, it is unknown.
         held = {tgt for unit in self.units.values() for tgt in (*unit.have, *unit.want)} | self.shut.keys()
         self.targets = {server: tgt for server, tgt in self.targets.items()
@@ -339,11 +457,12 @@
         elif self.now >= self.run_at:
             full = self.now >= self.full_at
             self.full_at = self.now + RUN_EVERY if full else self.full_at
-            self.run(full)
+            yield from self.run(full)
 
     def judge(self):  # against peers of the same time
         shares, dead, answered = {}, {}, 0
-        for tgt in self.targets.values():
+        for tgt in [*self.targets.values()]:
+            yield 15
             (tries, unanswered, latency), last = (tgt.heard.total(tgt.heard_at, t) for t in (RECENT, LAST))
             fresh, good = self.now - tgt.heard_at < TURN, tries - unanswered
             answered += good * fresh
@@ -356,6 +475,7 @@
                     dead[tgt] = f"{last[1] / last[0]:.2f} unanswered"
         part = sum(self.quotas().values()) * len(self.ours()) / len(self.units)
         self.proven = max(self.proven, answered / RECENT / max(part, 1))
+        yield 5 * len(self.targets)
         strains = {tgt: max(share / HARD_SHARE, tgt.late) for tgt, share in shares.items()}
         usual = sorted([*strains.values(), 0.0])[(len(strains) + 1) // 4]
         self.condemn(dead)
@@ -366,7 +486,6 @@
         late = [0.0, *(0.0 if tgt.idle else tgt.late for tgt in shares)]
         self.fleet.late = sorted(late)[len(late) // 2]
         self.relent(self.fleet, self.fleet.late if self.fleet.late > 1 else 0, 0)
-        self.weigh()
 
     def condemn(self, dead):
         """Many that fail at once are crowded, cut off from us, or fail at one operation."""
@@ -405,6 +524,7 @@
 
     def run(self, full):
         # A full run also tries servers that warm up and are empty; a short one looks after load alone.
+        yield 2 * len(self.units) + 2 * len(self.targets)
         units, quota, empty = self.ours(), self.quotas(), 2 * DEV if full else 0.0
         for tgt in quota:
             tgt.gained = tgt.mode == "cold" and self.now < tgt.hold
@@ -412,33 +532,45 @@
         if len(quota) < 2 or not sum(rate for rate, _ in demand.values()):
             return
         tgts = list(quota)
+        yield len(units)
         for unit in units:
             self.count(unit, demand[unit][False] / 100, 1 if self.settings.exclusive else len(tgts), full)
+        yield 3 * len(units)
         share, memory = len(units) / len(self.units), MEMORY * 100 * len(tgts) / len(self.units)
         amounts = [[part / unit.copies for part in demand[unit]] for unit in units] + [[0.0, 0.0]]
-        old = [{p for p, unit in enumerate(units) if tgt in unit.want} for tgt in tgts]
+        place, old, starts = {tgt: x for x, tgt in enumerate(tgts)}, [set() for _ in tgts], []
+        for p, unit in enumerate(units):
+            starts.append([*unit.want])
+            for tgt in unit.want.keys() & place.keys():
+                old[place[tgt]].add(p)
         tender = {x: share * quota[t] for x, t in enumerate(tgts) if t.mode in TENDER}
         room = [len(held) * memory - MEMORY * share * quota[tgt] for held, tgt in zip(old, tgts)]
-        given = old, room, [*gap.values()], amounts, memory, tender, [tgt.gained for tgt in tgts]
-        widest, self.dev = Partition(*given).worst(empty), max(DEV, self.dev - STEP)
-        if widest <= self.dev + BAND and all(len(unit.want) == unit.copies for unit in units):
+        changed = [(p, sorted(place[tgt] for tgt in unit.want if tgt in place), unit.copies)
+                   for p, unit in enumerate(units) if len(unit.want) != unit.copies]
+        states = [(tgt.mode, tgt.gained) for tgt in tgts]
+        gained, self.dev = [tgt.gained for tgt in tgts], max(DEV, self.dev - STEP)
+        start = Partition(old, room, [*gap.values()], amounts, memory, tender, gained, empty)
+        search = Search(self.settings.seed, self.counter, start, changed)
+        if search.widest <= self.dev + BAND and not changed:
             return
-        best = None  # a candidate that fits a smaller deviation wins, then one with fewer changed placements
-        for i in range(SOLUTIONS):
-            part = Partition(*given)
-            self.recount(part, units)
-            for _ in range(max(ATTEMPTS, len(tgts)) + 1):
-                key = max(DEV, STEP * math.ceil(part.worst(empty) / STEP)), part.distance
-                if best is None or key < best[0]:
-                    best = key, [set(held) for held in part.holds]
-                if key[0] <= DEV or not self.improve(part, 10 * i < SOLUTIONS):
-                    break
-        self.dev, moves = best[0]
-        self.orders.append(face.Log(f"run: gap {widest:.0f}, dev {self.dev:.0f}, {moves} placements"))
-        for p, unit in enumerate(units):
-            chosen = [tgt for tgt, held in zip(tgts, best[1]) if p in held]
-            if chosen and set(chosen) != set(unit.want):
-                unit.want = dict.fromkeys(chosen, 1.0)
+        yield from search.steps()
+        yield 3 * len(units)
+        self.adopt(search, units, starts, tgts, states)
+
+    def adopt(self, search, units, starts, tgts, states):
+        """The map may have moved on while the search ran: what has gone, or has been moved, stays so."""
+        (self.dev, moves), holds = search.best
+        self.counter = search.counter
+        self.orders.append(face.Log(f"run: gap {search.widest:.0f}, dev {self.dev:.0f}, {moves} placements"))
+        found, quota = [[] for _ in units], self.quotas()
+        bears = [tgt in quota and state == (tgt.mode, tgt.gained) for tgt, state in zip(tgts, states)]
+        for x, held in enumerate(holds):
+            for p in held:
+                found[p].append(x)
+        for unit, chosen, start in zip(units, found, starts):
+            stands = self.units.get(unit.slice) is unit and [*unit.want] == start
+            if stands and {tgts[x] for x in chosen} != unit.want.keys() and all(bears[x] for x in chosen):
+                unit.want = {tgts[x]: 1.0 for x in chosen} or unit.want
 
     def count(self, unit, demand, most, full):  # the copies rule
         while unit.copies < most and demand / unit.copies > BETA:
@@ -447,47 +579,22 @@
         if unit.low >= LOW_RUNS:
             unit.copies, unit.low = unit.copies - 1, 0
 
-    def recount(self, part, units):  # copies go where there is least room, and come where there is most
-        for p, unit in enumerate(units):
-            if len(unit.want) != unit.copies:
-                load = part.demand
-                has = sorted((x for x, held in enumerate(part.holds) if p in held), key=load.__getitem__)
-                free = sorted((x for x in range(len(load)) if x not in has and part.welcome(p, x)),
-                              key=lambda x: load[x] + 20 * self.draw())
-                for x in has[unit.copies:]:
-                    part.put(p, x, -1)
-                for x in free[:max(0, unit.copies - len(has))]:
-                    part.put(p, x, 1)
-
-    def improve(self, part, sure):
-        """One move or swap: the best of the widest pair, or drawn by deviation and benefit."""
-        def chance(row):
-            return row[0] if sure else self.draw() ** (1 / row[0])
-
-        for _, x, y in sorted(part.pairs(), key=chance, reverse=True):
-            swaps = part.swaps(x, y)  # a tender server is soon full, and its pairs have none
-            if swaps:
-                _, *moved = max(swaps, key=chance)
-                for p, source, goal in zip(moved, (x, y), (y, x)):
-                    if p != NONE:
-                        part.put(p, source, -1)
-                        part.put(p, goal, 1)
-                return True
-        return False
-
     def send(self):
         """Urgent orders first, then what the channel surely takes; removals lead, nothing is said twice."""
         limits, proxies = self.settings, len(self.joined)
         waiting = sum(lines * (self.now < at + LOST) for row in self.joined.values() for _, lines, at in row)
-        changed = [(self.urgent(unit), unit) for unit in self.units.values() if unit.ours
-                   and (unit.want != unit.have or self.let_in(unit.want) != unit.level)]
+        low = {tgt for tgt in self.targets.values() if self.let_in([tgt]) < 1}
+        changed = [(self.urgent(unit), unit) for unit in self.units.values() if unit.ours and (
+            unit.want != unit.have
+            or unit.level != (1 if low.isdisjoint(unit.want) else self.let_in(unit.want)))]
         pace = limits.messages_window / max(1, limits.messages_most - 1) if limits.messages_most else 0
         calm = self.now >= self.sent_at + max(SECOND // 2, 2 * pace)
         if self.now < self.sent_at + pace or not (calm or any(urgent for urgent, _ in changed)):
             return
         # A zone's slices can fill the channel past the grace: one line a proxy shuts a server out before.
-        named = dict.fromkeys(tgt for unit in self.ours() for tgt in unit.have)
-        stale = dict.fromkeys(tgt for unit in self.ours() for tgt in unit.have if tgt not in unit.want)
+        named = {tgt for unit in self.ours() for tgt in unit.have} if self.shut else ()
+        stale = dict.fromkeys(tgt for _, unit in changed for tgt in unit.have
+                              if tgt not in unit.want and unit is not self.whole)
         shut = [tgt for tgt in stale if tgt.mode in ("leaving", "out") and tgt not in self.shut]
         back = [tgt for tgt in self.shut
                 if (changed and tgt not in named if tgt.mode in CLOSED else tgt not in stale)]
