--- a/flintreach/cores/fold.py
+++ b/flintreach/cores/fold.py
@@ -43,7 +43,6 @@
         self.loads: dict[face.Server, tuple[int, dict]] = {}  # the newest report of those that have rows
         self.kinds: dict[object, tuple] = {}  # last heard of each object
         self.urgent: dict[tuple, None] = {}  # rows of a kind that was not the last one heard of their object
-        self.lines = 0  # summed up since the start
 
     def __len__(self) -> int:
         return len(self.rows)
@@ -55,7 +54,6 @@
     def add(self, event) -> None:
         kind = self.kind(event)
         self.counter += 1
-        self.lines += 1
         turns = max(1, round(event.span / SECOND))
         if isinstance(event, face.Heard):
             about = event.server
--- a/flintreach/cores/front.py
+++ b/flintreach/cores/front.py
@@ -100,6 +100,7 @@
         """Its connections were reset with it, and come again to the others."""
         if self.timer:
             self.timer.cancel()
+        self.front.read, self.lines = self.front.read + self.lines, 0
         if self.door:
             self.door.close()
             self.door = None
@@ -173,7 +174,7 @@
 class Front:
     def __init__(self, service, block: Block):
         self.service, self.block, self.owners = service, block, Owners()
-        self.listener, self.counter, self.made = None, 0, 0
+        self.listener, self.counter, self.made, self.read = None, 0, 0, 0
         self.servers, self.numbers, self.names = service.registry.named(), {}, {}
         self.hands = [Hand(self, number, block) for number in range(block.workers)]
         limits, part = service.limits, max(1, block.workers)
@@ -183,6 +184,11 @@
         self.start = words.Start(service.config.told, asdict(shared), block.rows, block.wait,
                                  part / block.share, block.sign, block.stale)
 
+    @property
+    def lines(self) -> int:
+        """That workers have read; those of one that ended count too."""
+        return self.read + sum(hand.lines for hand in self.hands)
+
     async def listen(self, at: str) -> tuple[str, int]:
         host, port = address(at)
         self.listener = socket.create_server((host, port), backlog=self.service.limits.backlog)
--- a/flintreach/cores/worker.py
+++ b/flintreach/cores/worker.py
@@ -150,7 +150,7 @@
         if not self.link.transport.get_write_buffer_size():
             counts, gone = self.counts, self.gone
             self.counts, self.gone = {}, []
-            self.link.tell(words.Beat(counts, gone, len(self.fold), self.fold.lines, time.process_time_ns()))
+            self.link.tell(words.Beat(counts, gone, len(self.fold), self.clients.lines, time.process_time_ns()))
         self.clock.after(self.told.sign, self.beat)
 
 
--- a/flintreach/net/clients.py
+++ b/flintreach/net/clients.py
@@ -77,6 +77,7 @@
             self.buffer.put(data)
             for line in lines(self.buffer):
                 read += 1
+                self.clients.lines += 1
                 self.take(line)
                 if self.state == "dropped":
                     return
@@ -162,6 +163,7 @@
     def __init__(self, service):
         limits = service.limits
         self.service, self.paused, self.held = service, [], 0
+        self.lines = 0  # that collectors and strangers sent
         self.asked: dict[Client, None] = {}  # whose question waits for its answer
         self.open = {"stranger": {}, "asking": {}, "collector": {}}  # by state, the quietest first
         self.most = {"stranger": limits.strangers, "asking": limits.strangers, "collector": limits.collectors}
--- a/flintreach/net/service.py
+++ b/flintreach/net/service.py
@@ -1,6 +1,7 @@
 """Gathers what is ready, hands it to the decisions in one go, and carries out what comes back."""
 
 import asyncio
+import gc
 import traceback
 
 from flintreach import interface as face
@@ -36,7 +37,7 @@
         self.modes, self.counts = {}, {}
         self.clients, self.calls, self.news = front(self), Calls(self), News(self)
         self.roster, self.servers, self.pilots = Roster(self), Servers(self), None
-        self.longest = self.turns = 0
+        self.longest = self.turns = self.deepest = 0
         loop.set_exception_handler(self.fault)
 
     # What comes in.
@@ -64,6 +65,7 @@
     # The loop.
 
     def turn(self) -> None:
+        self.deepest = max(self.deepest, len(self.gathered))
         events, self.gathered = self.some(self.gathered)
         self.turn_due = False
         began = self.clock.now()
@@ -152,6 +154,7 @@
         if not self.ready and (late or self.roster.known):
             self.ready = True
             self.log.info("ready", servers=len(self.registry.servers), discovery=self.roster.known)
+            gc.freeze()  # a full collection over a large fleet's settings holds the loop for 50 ms
             self.clients.ready()
 
     def reload(self) -> None:
@@ -174,5 +177,6 @@
     def stop(self, status: int) -> None:
         self.status = status
         self.log.info("stopped", status=status, turns=self.turns, longest_ms=self.longest // 1_000_000,
+                      deepest=self.deepest, lines=self.clients.lines,
                       **{what.replace(" ", "_"): number for what, number in self.counts.items()})
         self.loop.stop()
--- a/flintreach/standins/program.py
+++ b/flintreach/standins/program.py
@@ -16,10 +16,12 @@
 class Program:
     """With a relay that its owner plays by hand, or one that plays itself, and a discovery.
 
-    `own` is the text of the operator's file.
+    `own` is the text of the operator's file, `tree` another checkout of the program, `cores` those that it
+    may use.
     """
 
-    def __init__(self, folder, own: str = "", relay=None, **changes):
+    def __init__(self, folder, own: str = "", relay=None, tree: str | None = None, cores=None, **changes):
+        self.tree, self.cores = tree, cores
         self.relay, self.discovery = relay or socket.create_server(("127.0.0.1", 0)), Discovery()
         self.path, self.config, self.open, self.old = folder / "config.json", told(**changes), [], []
         self.discovery.list = self.config["known"]
@@ -45,8 +47,11 @@
     def start(self):
         variables = {"PROXY_CONFIG": str(self.path), "PROXY_DISCOVERY": self.config["discovery"]}
         variables |= {"FLINTREACH_OPERATOR": str(self.own)} if self.own else {}
+        allowed = os.sched_getaffinity(0)
+        os.sched_setaffinity(0, self.cores or allowed)  # a child begins with ours
         self.process = subprocess.Popen([sys.executable, "-m", "flintreach", "serve"], stdout=subprocess.PIPE,
-                                        env=os.environ | variables)
+                                        env=os.environ | variables, cwd=self.tree)
+        os.sched_setaffinity(0, allowed)
         self.text = ""
         line = self.logged("listening")
         self.port = int(line.split("at='127.0.0.1:")[1].split("'")[0])
