The search may run in a process of its own; a client is read in portions

Need: under a full load a worker read one connection for seconds (the loop reads a socket again and again while more has come), was silent and was replaced; and a search of a thousand servers kept the deciding core busy.

Solve and Solved carry the search to a process and back, which leaves it to the decisions where it fails.

--- a/benchmarks/cores.py
+++ b/benchmarks/cores.py
@@ -1,11 +1,11 @@
-"""Several cores: reports taken, latency from a line's last byte to the order that it causes, depth, CPU, memory.
+"""Several cores: reports taken, latency from a line's last byte to its order, depth, CPU, memory.
 
-Each row is one pilot on so many cores, over a bounded time, with the load from processes on named other cores:
+Each row is one pilot on so many cores, over a bounded time, with the load from processes on other cores:
 
     python -m benchmarks.cores --cores 1,2,4 --rate 20000,100000,max --seconds 12 --json rows.json
 
-The pilot's processes are pinned to the first cores, everything else to the rest; where the pilot takes all, they
-share, and the row says so.  `--ceiling` measures the load alone, against a reader that only counts bytes.
+The pilot's processes are pinned to the first cores, everything else to the rest; where the pilot takes all,
+they share, and the row says so.  `--ceiling` measures the load alone, against a reader that counts bytes.
 """
 
 import asyncio
@@ -30,6 +30,10 @@
 from flintreach.standins.relay import Relay
 
 CORES = sorted(os.sched_getaffinity(0))
+# Processes of a pilot by the cores that it is given; one decides.
+PLANS = {2: "workers = 1\n search = false", 3: "workers = 1", 4: "workers = 2", 6: "workers = 4",
+         8: "workers = 6"}
+LINE = 95  # bytes of a line, on average
 SAMPLED = 130  # servers whose probes are listened to: a hundred questions a second
 TICK = os.sysconf("SC_CLK_TCK")
 
@@ -39,13 +43,13 @@
     config = told(servers, slices, proxies)
     first = servers - len(ports)
     config["known"]["endpoints"] = [
-        row(n, address=f"127.0.0.1:{ports[n - first]}" if n >= first else "127.0.0.1:9") for n in range(servers)]
+        row(n, address=f"127.0.0.1:{ports[n - first] if n >= first else 9}") for n in range(servers)]
     config["settings"]["specifics"] |= {"backlog": 60.0 * proxies, "channel_rate": 20.0 * proxies,
                                         "messages_most": 0}
     return config | {"limits": {"sockets": 1024, "memory_mb": 4096}}
 
 
-def generate(at, cores: list[int], connections: int, rate: float, seconds: float, world: tuple, seed: int, answer):
+def generate(at, cores, connections, rate, seconds, world, seed, answer):
     os.sched_setaffinity(0, cores)
     pool = lines(world[0] - SAMPLED, world[1], 40_000, seed)
     answer.send("ready")
@@ -53,7 +57,7 @@
     answer.send(uvloop.run(load(at, connections, rate, seconds, pool)))
 
 
-def sample(at, cores: list[int], first: int, sampler: Sampler, seconds: float, answer):
+def sample(at, cores, first, sampler, seconds, answer):
     os.sched_setaffinity(0, cores)
     answer.send("ready")
     answer.recv()
@@ -73,6 +77,16 @@
     return [process, *map(int, children)]
 
 
+def unread(port: int) -> int:
+    """Bytes on their way to that port, or arrived there and not read."""
+    found, wanted = 0, f":{port:04X}"
+    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        _, here, there, _, queues, *_ = line.split()
+        sending, arrived = (int(part, 16) for part in queues.split(":"))
+        found += arrived * here.endswith(wanted) + sending * there.endswith(wanted)
+    return found
+
+
 def parts(at, load_cores, loaders, connections, rate, seconds, size, sampler):
     """The processes that load, and the one that samples; all begin at one word."""
     context, ends, found = multiprocessing.get_context("fork"), [], []
@@ -80,7 +94,8 @@
         mine, theirs = context.Pipe()
         ends.append(mine)
         found.append(context.Process(target=generate, args=(
-            at, load_cores, connections // loaders, rate / loaders, seconds, (size[0], size[2]), number, theirs)))
+            at, load_cores, connections // loaders, rate / loaders, seconds, (size[0], size[2]), number,
+            theirs)))
     if sampler:
         mine, theirs = context.Pipe()
         ends.append(mine)
@@ -97,14 +112,15 @@
 
 def measure(cores: int, rate: float, seconds: float, size: tuple[int, int, int], loaders: int,
             connections: int, tree: str | None) -> dict:
-    """One row.  `tree`: another checkout of this program, as its baseline on one core."""
+    """One row.  `tree`: another checkout of this program, as its baseline on one core.  What waits unread in
+    the system's buffers does not count as taken."""
     mine = CORES[:cores]
     others = CORES[cores:] or CORES
     sampler = Sampler(SAMPLED)
     config = world(*size, sampler.ports)
     servers, proxies, slices = size
     relay = Relay(slices, proxies, lambda n: f"s{n % servers}")
-    own = f"cores {{\n workers = {cores - 1}\n}}\n" if cores > 1 else ""
+    own = f"cores {{\n {PLANS[cores]}\n}}\n" if cores > 1 else ""
     os.sched_setaffinity(0, others)
     with tempfile.TemporaryDirectory() as folder:
         program = Program(Path(folder), own, relay, tree=tree, cores=mine, **config)
@@ -114,24 +130,28 @@
             ends, found = parts(at, others, loaders, connections, rate, seconds, size, sampler)
             time.sleep(seconds / 2)
             before = {process: usage(process) for process in family(program.process.pid)}
+            waited = unread(program.port)
             time.sleep(seconds / 2 - 0.5)
             after = {process: usage(process) for process in before}
+            waited = unread(program.port) - waited
             answers = [end.recv() for end in ends]
             for process in found:
                 process.join()
             program.process.send_signal(signal.SIGTERM)
             stopped = program.logged("'stopped'")
+            said = [line.split("event=")[1].split(" pilot=")[0] for line in program.lines]
         finally:
             program.end()
             relay.close()
     taken, missed = answers.pop()
+    span = seconds / 2 - 0.5
     histogram = HdrHistogram(1, 60_000_000, 3)
     for value in taken:
         histogram.record_value(max(1, value // 1000))
-    span = seconds / 2 - 0.5
     figures = dict(re.findall(r"(\w+)=(\d+)", stopped))
     return {
-        "cores": cores, "rate": rate, "sent": round(sum(answer["rate"] for answer in answers)),
+        "cores": cores, "rate": rate,
+        "taken": round(sum(answer["rate"] for answer in answers) - waited / LINE / span),
         "held_back": sum(answer["held_back"] for answer in answers),
         "resets": sum(answer["resets"] for answer in answers),
         **{f"p{str(q).replace('.', '_')}_ms": histogram.get_value_at_percentile(q) / 1000
@@ -141,6 +161,7 @@
         "channel_lines": max((len(call.orders) for call in relay.calls), default=0),
         "cpu": [round((after[p][0] - before[p][0]) / span, 2) for p in before],
         "memory_mb": [round(after[p][1]) for p in before], "shared_with_load": cores >= len(CORES),
+        "said": [text for text in said if "worker" in text or "client" in text],
     }
 
 
@@ -172,11 +193,13 @@
 def main(cores: str = "1,2,4", rate: str = "20000,100000,max", seconds: float = 12.0, servers: int = 1000,
          proxies: int = 4000, slices: int = 8000, loaders: int = 3, connections: int = 24,
          baseline: str = typer.Option(None, help="Another checkout, measured first on one core."),
-         only_ceiling: bool = typer.Option(False, "--ceiling"), json_file: str = typer.Option(None, "--json")):
+         only_ceiling: bool = typer.Option(False, "--ceiling"),
+         json_file: str = typer.Option(None, "--json")):
     """Rows as JSON, one a line."""
     size = servers, proxies, slices
     if only_ceiling:
-        typer.echo(f"{ceiling(loaders, connections, seconds, size):.0f} lines a second from {loaders} processes")
+        most = ceiling(loaders, connections, seconds, size)
+        typer.echo(f"{most:.0f} lines a second from {loaders} processes")
         return
     rows = []
     plans = [(1, baseline)] if baseline else []
--- a/flintreach/cores/block.py
+++ b/flintreach/cores/block.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from flintreach.operator import count, duration, share
+from flintreach.operator import count, duration, share, switch
 
 
 @dataclass(frozen=True, slots=True)
@@ -10,6 +10,7 @@
     """Times are whole nanoseconds."""
 
     workers: int = count(0, 0, 64)  # processes that take connections; 0: the one process does all
+    search: bool = switch(True)  # the swap search in a process of its own
     share: float = share(0.2, 0.01, 1.0)  # of the deciding core, for reading what all workers bring
     wait: int = duration("200ms", "0ms", "1s")  # the longest that an ordinary sum waits for the deciding core
     rows: int = count(2000, 100, 10_000)  # in one record of a worker
--- a/flintreach/cores/fold.py
+++ b/flintreach/cores/fold.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Callable
-from dataclasses import replace
 from itertools import islice
 
 from flintreach import interface as face
@@ -40,7 +39,7 @@
     def __init__(self, kind: Callable[[object], tuple], most: int):
         self.kind, self.most, self.counter = kind, most, 0
         self.rows: dict[tuple, Row] = {}  # by what they are about, the first heard first
-        self.loads: dict[face.Server, tuple[int, dict]] = {}  # the newest report of those that have rows
+        self.loads: dict[face.Server, dict] = {}  # the newest report of those that have rows
         self.kinds: dict[object, tuple] = {}  # last heard of each object
         self.urgent: dict[tuple, None] = {}  # rows of a kind that was not the last one heard of their object
 
@@ -52,14 +51,15 @@
         return len(self.rows) >= self.most
 
     def add(self, event) -> None:
-        kind = self.kind(event)
+        """The event is the fold's from now on."""
+        kind, heard = self.kind(event), type(event) is face.Heard
         self.counter += 1
-        turns = max(1, round(event.span / SECOND))
-        if isinstance(event, face.Heard):
+        turns = (event.span + SECOND // 2) // SECOND
+        if heard:
             about = event.server
             key = about, event.zone, turns, kind
             if event.load:
-                self.loads[about] = self.counter, event.load
+                self.loads[about] = event.load
         else:
             about = event.slice or event.proxy
             key = about, event.operation, turns, kind
@@ -68,10 +68,11 @@
             self.urgent[key] = None
         row = self.rows.get(key)
         if row is None:
-            row = self.rows[key] = Row(replace(event, kind=kind), self.counter)
+            event.kind = kind
+            row = self.rows[key] = Row(event, self.counter)
         else:
             row.add(event, self.counter)
-        if isinstance(event, face.Heard):
+        if heard:
             answered = max(0, event.tries - event.unanswered)
             row.answered += answered
             row.latency += answered * event.latency
@@ -94,7 +95,7 @@
         if isinstance(event, face.Heard):
             event.latency = row.latency // row.answered if row.answered else event.latency
             if event.server in self.loads:
-                event.load = self.loads[event.server][1]
+                event.load = self.loads[event.server]
         else:
             event.lines = row.lines
         return event
--- a/flintreach/cores/front.py
+++ b/flintreach/cores/front.py
@@ -4,7 +4,9 @@
 and every order, stay in this process; so no two cores can order the same, or differ about a drain.
 """
 
+import copy
 import os
+import pickle
 import signal
 import socket
 import subprocess
@@ -16,23 +18,24 @@
 from flintreach.cores.block import Block
 from flintreach.cores.care import Life, Owners
 from flintreach.cores.link import Link
+from flintreach.interface import SECOND
 from flintreach.net.http import address
 
 ACCEPTED = 64  # connections in one turn of the loop
 DOOR_BYTES = 16 << 10  # of handed-over connections that wait for a worker
+PORTION = 100  # lines of one client in a turn of a worker's loop
 ENDS_WITHIN = 0.3  # seconds for workers to end by themselves
 
 
 class Hand:
-    """One worker, as the deciding process sees it."""
+    """A process beside the deciding one, as that sees it."""
+
+    what = ""
 
     def __init__(self, front: "Front", number: int, block: Block):
         self.front, self.number, self.service = front, number, front.service
         self.life = Life(block.pause_first, block.pause_longest, block.steady)
-        self.process = self.link = self.door = self.timer = self.exit = None
-        self.told: set[int] = set()  # numbers of servers that it knows
-        self.owed: int | None = None  # nanoseconds that its last sums took, until they are handled
-        self.waiting = self.lines = self.busy = 0
+        self.process = self.link = self.timer = self.exit = None
 
     def step(self, what: str, why: str = "") -> None:
         before = self.life.state
@@ -40,49 +43,43 @@
         if effect:
             getattr(self, effect)()
         if before != self.life.state:
-            self.service.mode(f"worker {self.number}", self.life.state, why)
+            self.service.mode(f"{self.what} {self.number}", self.life.state, why)
+
+    @property
+    def serves(self) -> bool:
+        return self.life.state == "serving"
 
     # Effects.
 
     def spawn(self) -> None:
         block, loop = self.front.block, self.service.loop
-        (ours, channel), (door, theirs) = socket.socketpair(), socket.socketpair(
-            socket.AF_UNIX, socket.SOCK_SEQPACKET)
-        for end in (ours, door):
-            end.setblocking(False)
-        door.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, DOOR_BYTES)
-        self.door, self.told, self.owed = door, set(), None
-        self.link = Link(words.to_pilot, self.take, self.lost)
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        self.link, handles, words = self.begin(theirs)
         try:
-            handles = channel.fileno(), theirs.fileno()
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "flintreach.cores.worker", *map(str, handles)],
-                pass_fds=handles, stdin=subprocess.DEVNULL)
+                [sys.executable, "-m", f"flintreach.cores.{self.what}", *words],
+                pass_fds=[handle.fileno() for handle in handles], stdin=subprocess.DEVNULL)
         except OSError as error:  # no memory or no process for it: as one that dies at once
-            self.service.count("worker not started", str(error))
+            self.service.count(f"{self.what} not started", str(error))
             ours.close()
+            self.process = None
             return self.service.clock.after(0, self.reaped)
         finally:
-            channel.close()
-            theirs.close()
+            for handle in handles:
+                handle.close()
         self.exit = os.pidfd_open(self.process.pid)
         loop.add_reader(self.exit, self.reaped)
         self.wait = loop.create_task(loop.create_connection(lambda link=self.link: link, sock=ours))
-        self.wait.add_done_callback(lambda done, link=self.link: link.tell(self.front.start))
+        self.wait.add_done_callback(lambda done, link=self.link: self.opened(link))
         self.quiet(10 * block.hang)  # a start takes longer than any silence
 
     def quiet(self, within: int) -> None:
-        """A worker that is not heard of within that time hangs; our own stall must not count."""
+        """One that is not heard of within that time hangs; our own stall must not count."""
         if self.timer:
             self.timer.cancel()
         self.timer = self.service.clock.limit(within, lambda: self.step("silent"))
 
-    def open(self) -> None:
-        self.front.owners.open(self)
-        self.name()
-        self.link.tell(words.Sign(self.service.ready, 0))
-        self.front.accepting(True)
-
     def close(self) -> None:
         self.link.end()
         self.shut()
@@ -97,14 +94,8 @@
         self.service.clock.after(self.life.pause(), lambda: self.step("due"))
 
     def shut(self) -> None:
-        """Its connections were reset with it, and come again to the others."""
         if self.timer:
             self.timer.cancel()
-        self.front.read, self.lines = self.front.read + self.lines, 0
-        if self.door:
-            self.door.close()
-            self.door = None
-        self.front.owners.close(self)
 
     # What happens to it.
 
@@ -121,9 +112,52 @@
             self.process.wait()
         self.step("ended", f"status {self.process.returncode}" if self.process else "not started")
 
-    def take(self, message) -> None:
-        if self.life.state == "serving":
+    def heard(self) -> None:
+        if self.serves:
             self.quiet(self.front.block.hang)
+
+    def opened(self, link: Link) -> None:
+        """The first word to it."""
+
+
+class Worker(Hand):
+    what = "worker"
+
+    def __init__(self, front: "Front", number: int, block: Block):
+        super().__init__(front, number, block)
+        self.door, self.told = None, set()  # told: numbers of servers that it knows
+        self.owed: int | None = None  # nanoseconds that its last sums took, until they are handled
+        self.waiting = self.lines = self.busy = 0
+
+    def begin(self, channel: socket.socket) -> tuple:
+        self.door, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        self.door.setblocking(False)
+        self.door.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, DOOR_BYTES)
+        self.told, self.owed = set(), None
+        handles = channel, theirs
+        return (Link(words.to_pilot, self.take, self.lost), handles,
+                [str(handle.fileno()) for handle in handles])
+
+    def opened(self, link: Link) -> None:
+        link.tell(self.front.start)
+
+    def open(self) -> None:
+        self.front.owners.open(self)
+        self.name()
+        self.link.tell(words.Sign(self.service.ready, 0))
+        self.front.accepting(True)
+
+    def shut(self) -> None:
+        """Its connections were reset with it, and come again to the others."""
+        super().shut()
+        self.front.read, self.lines = self.front.read + self.lines, 0
+        if self.door:
+            self.door.close()
+            self.door = None
+        self.front.owners.close(self)
+
+    def take(self, message) -> None:
+        self.heard()
         if isinstance(message, words.Sums):
             self.sums(message)
         elif isinstance(message, words.Beat):
@@ -134,7 +168,7 @@
                 self.front.owners.left(self, number)
         else:
             self.step("greeted", f"process {message.process}")
-            self.quiet(self.front.block.hang)
+            self.heard()
 
     def sums(self, message: words.Sums) -> None:
         service, began = self.service, self.service.clock.now()
@@ -171,16 +205,66 @@
             return False
 
 
+class Solver(Hand):
+    """It has at most one search in hand; one that it does not end is left to the decisions."""
+
+    what = "solver"
+
+    def __init__(self, front: "Front", number: int, block: Block):
+        super().__init__(front, number, block)
+        self.search, self.counter = None, 0
+
+    def begin(self, channel: socket.socket) -> tuple:
+        link = Link(pickle.loads, self.take, self.lost, pickle.dumps)
+        return link, [channel], [str(channel.fileno()), str(self.front.block.sign / SECOND)]
+
+    def open(self) -> None:
+        self.quiet(self.front.block.hang)
+
+    def shut(self) -> None:
+        super().shut()
+        if self.search:
+            self.answer(None, self.search.counter)
+
+    def solve(self, search) -> None:
+        if self.search:  # given up by the decisions
+            self.search = None
+        if not self.serves:
+            return self.service.event(face.Solved(search, None, search.counter))
+        self.search, self.counter = search, self.counter + 1
+        self.link.tell((self.counter, replaced(search)))
+
+    def take(self, message) -> None:
+        self.heard()
+        if message is None:
+            self.step("greeted", f"process {self.process.pid}")
+        elif message[0] == self.counter and self.search:
+            self.answer(*message[1:])
+
+    def answer(self, best: tuple | None, counter: int) -> None:
+        search, self.search = self.search, None
+        self.service.event(face.Solved(search, best, counter))
+
+
+def replaced(search):
+    """A copy that takes its steps where it is sent."""
+    there = copy.copy(search)
+    there.elsewhere = False
+    return there
+
+
 class Front:
     def __init__(self, service, block: Block):
         self.service, self.block, self.owners = service, block, Owners()
         self.listener, self.counter, self.made, self.read = None, 0, 0, 0
         self.servers, self.numbers, self.names = service.registry.named(), {}, {}
-        self.hands = [Hand(self, number, block) for number in range(block.workers)]
+        self.hands = [Worker(self, number, block) for number in range(block.workers)]
+        self.solver = Solver(self, 0, block) if block.search else None
+        service.settings.elsewhere = block.search
         limits, part = service.limits, max(1, block.workers)
         shared = replace(
             limits, collectors=-(-limits.collectors // part), strangers=-(-limits.strangers // part),
-            held=limits.held // part)
+            held=limits.held // part, portion=PORTION)
         self.start = words.Start(service.config.told, asdict(shared), block.rows, block.wait,
                                  part / block.share, block.sign, block.stale)
 
@@ -193,7 +277,7 @@
         host, port = address(at)
         self.listener = socket.create_server((host, port), backlog=self.service.limits.backlog)
         self.listener.setblocking(False)
-        for hand in self.hands:
+        for hand in self.all():
             hand.step("start")
         self.sign()
         return self.listener.getsockname()[:2]
@@ -228,7 +312,7 @@
         """Signs of life to the workers, while the loop turns; and what the list names."""
         self.name()
         for hand in self.hands:
-            if hand.life.state == "serving":
+            if hand.serves:
                 hand.link.tell(words.Sign(self.service.ready))
         self.service.clock.after(self.block.sign, self.sign)
 
@@ -248,30 +332,34 @@
             self.servers[self.counter] = held[name]
         if gone or self.counter != before:
             for hand in self.hands:
-                if hand.life.state == "serving":
+                if hand.serves:
                     hand.name()
 
     def ready(self) -> None:
         """Workers answer the questions that waited."""
         for hand in self.hands:
-            if hand.life.state == "serving":
+            if hand.serves:
                 hand.link.tell(words.Sign(True))
 
     def resume(self) -> None:
         """After a turn: who brought sums may bring the next, once these have been handled."""
         if self.made != self.service.registry.made:
             self.name()
-        if len(self.service.gathered) >= self.service.limits.turn:
-            return
         for hand in self.hands:
-            if hand.owed is not None and hand.life.state == "serving":
+            if hand.owed is not None and hand.serves:
                 took, hand.owed = hand.owed, None
                 hand.link.tell(words.Sign(self.service.ready, took))
 
+    def all(self) -> list[Hand]:
+        return [*self.hands, self.solver] if self.solver else self.hands
+
+    def solve(self, search) -> None:
+        self.solver.solve(search)
+
     def end(self) -> None:
-        for hand in self.hands:
+        for hand in self.all():
             hand.step("stop")
-        for hand in self.hands:
+        for hand in self.all():
             if hand.process:
                 try:
                     hand.process.wait(ENDS_WITHIN)
--- a/flintreach/cores/link.py
+++ b/flintreach/cores/link.py
@@ -10,8 +10,8 @@
 class Link(asyncio.Protocol):
     """`take(message)` hears of each whole record; `ended(why)` once, with what was cut off."""
 
-    def __init__(self, decode: Callable, take: Callable, ended: Callable):
-        self.decode, self.take, self.ended = decode, take, ended
+    def __init__(self, decode: Callable, take: Callable, ended: Callable, encode: Callable = words.encode):
+        self.encode, self.decode, self.take, self.ended = encode, decode, take, ended
         self.reader, self.writer, self.transport, self.over = Reader(), Writer(), None, False
 
     def connection_made(self, transport) -> None:
@@ -42,5 +42,5 @@
         """Bytes that wait to be written, this record included."""
         if self.over or not self.transport:
             return 0
-        self.transport.write(self.writer.pack(words.encode(message)))
+        self.transport.write(self.writer.pack(self.encode(message)))
         return self.transport.get_write_buffer_size()
--- a/flintreach/cores/worker.py
+++ b/flintreach/cores/worker.py
@@ -150,7 +150,8 @@
         if not self.link.transport.get_write_buffer_size():
             counts, gone = self.counts, self.gone
             self.counts, self.gone = {}, []
-            self.link.tell(words.Beat(counts, gone, len(self.fold), self.clients.lines, time.process_time_ns()))
+            self.link.tell(words.Beat(counts, gone, len(self.fold), self.clients.lines,
+                                      time.process_time_ns()))
         self.clock.after(self.told.sign, self.beat)
 
 
@@ -166,6 +167,7 @@
             self.link.tell(words.Greet(os.getpid()))
             self.desk.beat()
             gc.freeze()
+            gc.set_threshold(50_000, 20, 100)  # rows are many, and no cycles
         else:
             self.desk.take(message)
 
@@ -195,7 +197,8 @@
         os._exit(0 if why == "ended" else 1)
 
 
-def main(channel: int, door: int) -> None:
+def begin() -> asyncio.AbstractEventLoop:
+    """A process that lives as long as the deciding one; the loop that it runs."""
     # What the operator or the platform signals is for the deciding process, which tells us once.
     for sign in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(sign, signal.SIG_IGN)
@@ -206,6 +209,11 @@
         os._exit(1)
     loop = uvloop.new_event_loop()
     asyncio.set_event_loop(loop)
+    return loop
+
+
+def main(channel: int, door: int) -> None:
+    loop = begin()
     ends = [socket.socket(fileno=number) for number in (channel, door)]
     for end in ends:
         end.setblocking(False)
--- a/flintreach/interface.py
+++ b/flintreach/interface.py
@@ -89,6 +89,7 @@
     load_fields: tuple[str, ...] = ()  # "inflight", "queue", "util", "latency_ms", "qps", "eps"
     probes: bool = False
     tells: bool = False
+    elsewhere: bool = False  # searches are to be done beside the decisions: Solve, then Solved
 
 
 # Events, in the order in which they came.
@@ -177,6 +178,15 @@
     load: dict[str, float]
 
 
+@dataclass(slots=True)
+class Solved:
+    """A search that was done elsewhere, to its end; `best` None: nobody did it, and the decisions must."""
+
+    search: object
+    best: tuple | None
+    counter: int
+
+
 @dataclass(slots=True)
 class Told:
     pilot: int
@@ -259,6 +269,13 @@
     data: bytes
 
 
+@dataclass(slots=True)
+class Solve:
+    """A search that may be done elsewhere: it can be copied, and `for _ in search.steps(): pass` does it."""
+
+    search: object
+
+
 @dataclass(slots=True)
 class Log:
     text: str
--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -1,9 +1,8 @@
 """The decisions of flintreach.
 
-A host makes one `Pilot(settings)` an instance and calls `handle(now, events)` for each batch; the reply is
-the list of orders, in order.  Settings, events and orders are the dataclasses of `flintreach/interface.py`.
-The module is pure: no clock, no input or output, no ids; the same events give the same orders.
-The mechanism is the "closest" repartitioning of FLEX; see `docs/design.md`.
+A host makes one `Pilot(settings)` an instance and calls `handle(now, events)` for each batch; it replies with
+orders.  Settings, events and orders are those of `flintreach/interface.py`.  The module is pure: no clock, no
+input or output, no ids; the same events give the same orders.  The mechanism is FLEX's; see `docs/design.md`.
 """
 
 import copy
@@ -15,22 +14,18 @@
 from flintreach import interface as face
 from flintreach.interface import SECOND
 
-BEAT = SECOND // 4  # how often the pilot looks up
-RUN_EVERY, RUN_FIRST = 10 * SECOND, 4 * SECOND  # between full runs; before the first
-SMOOTHING = 10  # seconds of demand that a slice's figure covers
-RECENT, LAST = 3, 2  # seconds that show a jump, and a death
+BEAT, RUN_EVERY, RUN_FIRST = SECOND // 4, 10 * SECOND, 4 * SECOND  # between looks, and full runs; the first
+SMOOTHING, RECENT, LAST = 10, 3, 2  # seconds: of demand that a slice's figure covers; of a jump; of a death
 TURN = 3 * SECOND  # sums of a large fleet come by turns: silence for so long is no lack of demand
 BETA, LOW_RUNS = 0.7, 3  # of a server's mean demand, for one copy more; runs of too many before one goes
 DEV, STEP, BAND = 30.0, 15.0, 10.0  # permitted deviation, its steps, and what beyond it calls for no run
 MEMORY, FILL = 0.25, 0.25  # of memory against demand; of a cold server's quota, what may come above it
 SOLUTIONS, ATTEMPTS, NEAR = 20, 20, 3  # candidates a run; moves each, at least; servers paired at each end
-ENOUGH = 6  # tries without which nobody is judged
-FADE = 0.9  # how what is known of a server fades each second without answers
+ENOUGH, FADE = 6, 0.9  # tries without which nobody is judged; how what is known fades in a second of silence
 DEAD, OUT_MOST = 0.7, 0.25  # part unanswered of a failing server; of the servers, how many may be taken out
 OUT_FOR, FORGET = 8 * SECOND, 60 * SECOND  # first time out, doubled by failed trials; these are forgotten
 HARD_SHARE, HARD_LATE = 0.3, 0.4  # parts unanswered, and of the latency objective, that strain a server
-STORM = 0.2  # part unanswered of what comes for a slice, from which it is a storm of repeats
-SUSPECT = 0.3  # part of a line unanswered, two at least, from which a server is asked whether it lives
+STORM, SUSPECT = 0.2, 0.3  # parts of a line unanswered: repeats; and, two at least, a server that may be dead
 SLACK, EXTRA_MOST = 0.4, 1.0  # room of all servers from which such loads count in full; the most of a quota
 COLD_LATE = 0.5  # of the latency objective in one line, two answers, that empty a cold server
 CROWDED, WORSE = 0.6, 1.5  # strain, as such and by the best quarter's, from which a server is crowded
@@ -39,7 +34,7 @@
 QUIET = {"queue": 1, "util": 0.8}  # reports below which late answers are not a server's own load
 LOST = 10 * SECOND  # then a mark counts as answered: one lost with the news would hold the channel for ever
 HOLD = 2 * SECOND  # between two falls of a quota or a level, so that the sums can show the first
-EFFORT, A_STEP = 20_000, 60  # of a second's work in a turn, of a move or swap: about microseconds of a core
+EFFORT, A_STEP = 6000, 150  # of a second's work in a turn, of a move or swap: about microseconds of a core
 ROOM = 0.5, 0.55, 0.62  # parts of the channel's limit to fill: with what can wait, bad health, and drains
 
 # What a server is to us, what comes in, what it becomes, and what is done.  A pair that is not here is
@@ -111,7 +106,7 @@
 
 class Partition:  # a map of units to targets with the gaps between load and quota, kept as it changes
     def __init__(self, old, memory, demand, amounts, unit, tender, gained, empty=0.0):
-        self.old, self.holds, self.shared, self.distance = old, old, {*range(len(old))}, 0
+        self.old, self.holds, self.shared, self.distance, self.tried = old, old, {*range(len(old))}, 0, 0
         self.memory, self.demand, self.gained = memory, demand, gained  # gaps and gains a target
         self.amounts, self.unit, self.tender, self.empty = amounts, unit, tender, empty
         self.figures = [self.figure(x) for x in range(len(old))]
@@ -125,11 +120,10 @@
         return part
 
     def figure(self, x):
-        """Sum and difference of the gaps, the demand's, and the load above the quota: where a target warms
-        up, by that quota; empty ones count as told."""
+        # Sum and difference of the gaps, the demand's, and the load above a quota; empty ones count as told.
         w, a, quota = self.memory[x], self.demand[x], self.tender.get(x)
-        above = max(w, a) if quota is None else 50 * a / quota if self.holds[x] else self.empty
-        return w + a, w - a, a, above
+        over = max(w, a) if quota is None else 50 * a / quota if self.holds[x] else self.empty
+        return w + a, w - a, a, over
 
     def put(self, p, x, sign):  # 1: unit p comes to target x; -1: it leaves
         if x in self.shared:  # with a map that is kept
@@ -165,25 +159,22 @@
     def swaps(self, x, y):
         """The valid moves and swaps between two targets that bring them closer: (benefit, p, q)."""
         memory, demand = self.memory[x] - self.memory[y], self.demand[x] - self.demand[y]
-        before, found = abs(memory) + abs(demand), []
-        mine = [p for p in sorted(self.holds[x] - self.holds[y]) if self.welcome(p, y)] + [NONE]
-        theirs = [q for q in sorted(self.holds[y] - self.holds[x]) if self.welcome(q, x)] + [NONE]
-        for p in mine:
-            for q in theirs:
-                moved = demand - 2 * (self.amounts[p][False] - self.amounts[q][False])
-                benefit = before - abs(moved) - abs(memory - 2 * self.unit * ((p != NONE) - (q != NONE)))
-                if benefit > 1e-9:
-                    found.append((benefit, p, q))
-        return found
-
-    def worst(self):
-        return self.orders[3][-1][0]
+        before, both = abs(memory) + abs(demand), abs(memory)
+        mine, theirs = ([(p, self.amounts[p][False]) for p in sorted(self.holds[a] - self.holds[b])
+                         if self.welcome(p, b)] for a, b in ((x, y), (y, x)))
+        away, back = (abs(memory - 2 * self.unit * way) for way in (1, -1))
+        swaps = [(q, b, both) for q, b in theirs] + [(NONE, 0.0, away)]
+        rows = [(p, a, swaps) for p, a in mine] + [(NONE, 0.0, [(q, b, back) for q, b in theirs])]
+        self.tried += len(rows) * len(swaps)
+        return [(benefit, p, q) for p, a, ways in rows for q, b, gap in ways
+                if (benefit := before - abs(demand - 2 * (a - b)) - gap) > 1e-9]
 
 
 class Search:  # for a map near the old one: it knows places alone, so it can run beside the decisions
-    def __init__(self, seed, counter, start, changed):
+    def __init__(self, seed, counter, start, changed, elsewhere=False):
         self.seed, self.counter, self.start, self.changed = seed, counter, start, changed
-        self.best, self.widest = None, start.worst()
+        self.elsewhere = elsewhere  # its steps are taken beside the decisions; without an answer, here
+        self.best, self.widest = None, start.orders[3][-1][0]
 
     def draw(self, ahead=1):
         return zlib.crc32(b"%d %d" % (self.seed, self.counter + ahead)) / 2**32
@@ -195,19 +186,22 @@
     def steps(self):
         """A candidate that fits a smaller deviation wins, then one with fewer changed placements."""
         size = len(self.start.old)
-        for i in range(SOLUTIONS):
+        while self.elsewhere:
+            yield EFFORT
+        for i in range(0 if self.best else SOLUTIONS):
             yield 2 * size
             part = self.start.fork()
             for p, has, copies in self.changed:
                 yield 150
                 self.recount(part, p, has, copies)
             for _ in range(max(ATTEMPTS, size) + 1):
-                key = max(DEV, STEP * math.ceil(part.worst() / STEP)), part.distance
+                key = max(DEV, STEP * math.ceil(part.orders[3][-1][0] / STEP)), part.distance
                 if self.best is None or key < self.best[0]:
                     self.best, part.shared = (key, part.holds[:]), {*range(size)}
                 if key[0] <= DEV or not self.improve(part, 10 * i < SOLUTIONS):
                     break
-                yield A_STEP
+                yield A_STEP + part.tried // 4  # as the last one told
+                part.tried = 0
 
     def recount(self, part, p, has, copies):
         """Copies go where there is least room, and come where there is most: all that are free draw, but who
@@ -215,8 +209,7 @@
         load, few = part.demand, copies - len(has)
         for x in sorted(has, key=load.__getitem__)[copies:]:
             part.put(p, x, -1)
-        barred = sorted({*has, *(x for x in part.tender if not part.welcome(p, x))})
-        found = []
+        barred, found = sorted({*has, *(x for x in part.tender if not part.welcome(p, x))}), []
         for least, x in part.orders[2]:
             if len(found) >= few and (few <= 0 or least > found[few - 1][0]):
                 break
@@ -270,7 +263,7 @@
             self.beat()
             self.stir = True
         elif self.work and now >= self.go_at:
-            self.go_on(0 if self.stir else EFFORT)  # what is urgent goes first
+            self.go_on(0 if self.stir or self.orders else EFFORT)  # what was ordered must not wait for it
         if self.stir:
             self.stir = False
             self.evacuate()
@@ -364,6 +357,9 @@
         unit.came.add(self.now, event.span, tries, event.tries)
         unit.told_at = self.now
 
+    def on_solved(self, event):
+        event.search.elsewhere, event.search.best, event.search.counter = False, event.best, event.counter
+
     def on_applied(self, event):
         waiting = self.joined.get(event.proxy, ())
         while any(number == event.number for number, *_ in waiting):  # an answer to no mark confirms nothing
@@ -390,7 +386,7 @@
     def measure(self):
         """Rates of our slices, over the smoothing time or what is known of it, and what presses of late."""
         for unit in self.ours():
-            yield 10
+            yield 13
             end = max(unit.told_at, self.now - TURN)
             age = max(1, (end - unit.since) / SECOND)
             if unit.told_at:
@@ -448,9 +444,9 @@
         self.weigh()
         yield 2 * len(self.units)
         # With new ids all day what is gone must leave nothing behind; named again, it is unknown.
-        held = {tgt for unit in self.units.values() for tgt in (*unit.have, *unit.want)} | self.shut.keys()
-        self.targets = {server: tgt for server, tgt in self.targets.items()
-                        if tgt.mode not in ("unknown", "leaving") or tgt in held}
+        gone = {tgt for tgt in self.targets.values() if tgt.mode in ("unknown", "leaving")} - self.shut.keys()
+        gone -= {tgt for unit in self.units.values() for tgt in (*unit.have, *unit.want)} if gone else set()
+        self.targets = {server: tgt for server, tgt in self.targets.items() if tgt not in gone}
         self.evacuate()
         if self.whole:  # one table of all open servers, by quota in steps
             self.whole.want = {tgt: max(1, round(share / 10)) for tgt, share in self.quotas().items()}
@@ -535,7 +531,7 @@
         yield len(units)
         for unit in units:
             self.count(unit, demand[unit][False] / 100, 1 if self.settings.exclusive else len(tgts), full)
-        yield 3 * len(units)
+        yield 2 * len(units)
         share, memory = len(units) / len(self.units), MEMORY * 100 * len(tgts) / len(self.units)
         amounts = [[part / unit.copies for part in demand[unit]] for unit in units] + [[0.0, 0.0]]
         place, old, starts = {tgt: x for x, tgt in enumerate(tgts)}, [set() for _ in tgts], []
@@ -548,11 +544,13 @@
         changed = [(p, sorted(place[tgt] for tgt in unit.want if tgt in place), unit.copies)
                    for p, unit in enumerate(units) if len(unit.want) != unit.copies]
         states = [(tgt.mode, tgt.gained) for tgt in tgts]
-        gained, self.dev = [tgt.gained for tgt in tgts], max(DEV, self.dev - STEP)
+        yield 2 * len(units)
+        self.dev, gained = max(DEV, self.dev - STEP), [gained for _, gained in states]
         start = Partition(old, room, [*gap.values()], amounts, memory, tender, gained, empty)
-        search = Search(self.settings.seed, self.counter, start, changed)
+        search = Search(self.settings.seed, self.counter, start, changed, self.settings.elsewhere)
         if search.widest <= self.dev + BAND and not changed:
             return
+        self.orders += [face.Solve(search)] * search.elsewhere
         yield from search.steps()
         yield 3 * len(units)
         self.adopt(search, units, starts, tgts, states)
@@ -563,14 +561,17 @@
         self.counter = search.counter
         self.orders.append(face.Log(f"run: gap {search.widest:.0f}, dev {self.dev:.0f}, {moves} placements"))
         found, quota = [[] for _ in units], self.quotas()
-        bears = [tgt in quota and state == (tgt.mode, tgt.gained) for tgt, state in zip(tgts, states)]
+        bears = [tgt in quota and mode == tgt.mode and gained >= (tgt.gained and mode in TENDER)
+                 for tgt, (mode, gained) in zip(tgts, states)]
         for x, held in enumerate(holds):
             for p in held:
                 found[p].append(x)
-        for unit, chosen, start in zip(units, found, starts):
-            stands = self.units.get(unit.slice) is unit and [*unit.want] == start
-            if stands and {tgts[x] for x in chosen} != unit.want.keys() and all(bears[x] for x in chosen):
-                unit.want = {tgts[x]: 1.0 for x in chosen} or unit.want
+        moved = {p for held, was in zip(holds, search.start.old) if held is not was for p in held ^ was}
+        for p, (unit, chosen, start) in enumerate(zip(units, found, starts)):
+            if p in moved or len(chosen) != len(start):
+                stands = self.units.get(unit.slice) is unit and [*unit.want] == start
+                if stands and all(bears[x] for x in chosen):
+                    unit.want = {tgts[x]: 1.0 for x in chosen} or unit.want
 
     def count(self, unit, demand, most, full):  # the copies rule
         while unit.copies < most and demand / unit.copies > BETA:
--- a/flintreach/net/clients.py
+++ b/flintreach/net/clients.py
@@ -32,7 +32,7 @@
 class Client(asyncio.Protocol):
     def __init__(self, clients: "Clients"):
         self.clients, self.service, self.transport = clients, clients.service, None
-        self.state, self.timer, self.held = "stranger", None, 0
+        self.state, self.timer, self.held, self.holding = "stranger", None, 0, False
         self.buffer = Buffer(self.service.limits.line)
 
     def connection_made(self, transport) -> None:
@@ -72,31 +72,50 @@
         self.state = "dropped"
 
     def data_received(self, data: bytes) -> None:
-        read, limits = 0, self.service.limits
+        self.buffer.put(data)
+        self.read()
+
+    def read(self) -> None:
+        """So many lines in a turn: one that has much to say, and is read again and again while more has come,
+        would keep all others and every sign of life waiting."""
+        read, more, limits = 0, False, self.service.limits
+        if self.state == "dropped":
+            return
         try:
-            self.buffer.put(data)
             for line in lines(self.buffer):
                 read += 1
                 self.clients.lines += 1
                 self.take(line)
                 if self.state == "dropped":
                     return
+                if read >= limits.portion:
+                    more = True
+                    break
             self.clients.heard(self)
-            if self.state != "collector" and len(self.buffer) > limits.stranger_line:
+            if self.state != "collector" and not more and len(self.buffer) > limits.stranger_line:
                 raise Overflow("a stranger's long line")
         except Overflow:
             return self.step("long line")
         except UNREADABLE:
             return self.step("unreadable")
+        full = self.service.full()
         if self.state == "collector":
             # Cut off within a line, or one that never ends: the rest would be waited for with all it holds.
-            if read or not len(self.buffer):
+            # What waits for us is no fault of its own.
+            if read or not len(self.buffer) or full:
                 self.bound(None)
-            if len(self.buffer) and not self.timer:
+            if len(self.buffer) and not self.timer and not more and not full:
                 self.bound("half a line", limits.line_time)
-        if self.service.full():
-            self.transport.pause_reading()
+        self.hold(more or full)
+        if full:
             self.clients.paused.append(self)
+        elif more:
+            self.service.clock.after(0, self.read)
+
+    def hold(self, on: bool) -> None:
+        if on != self.holding:
+            self.holding = on
+            (self.transport.pause_reading if on else self.transport.resume_reading)()
 
     def take(self, message: object) -> None:
         """One message is distrusted, not the collector that brings it: those around it are good."""
@@ -209,7 +228,6 @@
                 client.step("answered")
 
     def resume(self) -> None:
-        for client in self.paused:
-            if client.state != "dropped":
-                client.transport.resume_reading()
-        self.paused.clear()
+        paused, self.paused = self.paused, []
+        for client in paused:
+            client.read()
--- a/flintreach/net/limits.py
+++ b/flintreach/net/limits.py
@@ -21,7 +21,8 @@
     held: int = 48 << 20  # bytes that the buffers of all clients may take
     slow_turn: int = 250 * MS  # of the loop, from which it is worth a log line
     events: int = 20_000  # gathered in one turn; then clients are not read until it is over
-    turn: int = 4000  # of them handed over in one turn; the rest waits for the next
+    turn: int = 1500  # of them handed over in one turn; the rest waits for the next
+    portion: int = 500  # lines of one client that are read in a turn of the loop
     tries: int = 1_000_000  # the most that one report may count
     span: int = 600 * SECOND  # and its longest time
     load: float = 1e6  # the largest figure of a load report
--- a/flintreach/net/reading.py
+++ b/flintreach/net/reading.py
@@ -37,7 +37,7 @@
     """What has come whole, one JSON value a line."""
     for line in buffer.lines():
         try:
-            value = json.loads(line)
+            value = json.loads(str(line, "utf-8"))  # of bytes it would guess at the encoding of each
         except ValueError as error:
             if isinstance(error, (json.JSONDecodeError, UnicodeDecodeError)):
                 raise
--- a/flintreach/net/relay.py
+++ b/flintreach/net/relay.py
@@ -304,6 +304,7 @@
             self.feed.close()
         self.feed, self.new, self.failures = feed, None, 0
         self.service.mode("news", "told", f"{len(self.joined)} proxies, {len(self.tables)} slices")
+        self.service.settled()
         self.settle(True)
 
     def settle(self, whole: bool) -> None:
--- a/flintreach/net/service.py
+++ b/flintreach/net/service.py
@@ -38,6 +38,7 @@
         self.clients, self.calls, self.news = front(self), Calls(self), News(self)
         self.roster, self.servers, self.pilots = Roster(self), Servers(self), None
         self.longest = self.turns = self.deepest = 0
+        self.frozen = False
         loop.set_exception_handler(self.fault)
 
     # What comes in.
@@ -52,9 +53,13 @@
         """What one turn takes, and what waits.  Sums by the thousand must not hold up what is urgent."""
         if len(events) <= self.limits.turn:
             return events, []
-        sums = [event for event in events if isinstance(event, SUMS)]
+        most = self.limits.turn
         rest = [event for event in events if not isinstance(event, SUMS)]
-        return rest + sums[:self.limits.turn], sums[self.limits.turn:]
+        sums = [event for event in events if isinstance(event, SUMS)]
+        while most < len(rest) and isinstance(rest[most], face.Held):
+            most += 1  # a slice without its lines would be taken for one with an empty table
+        left = max(0, self.limits.turn - len(rest))
+        return rest[:most] + sums[:left], rest[most:] + sums[left:]
 
     def full(self) -> bool:
         return len(self.gathered) >= self.limits.events
@@ -81,7 +86,8 @@
         if self.gathered and not self.turn_due:
             self.turn_due = True
             self.clock.after(self.settings.tick, self.turn)
-        self.clients.resume()
+        if len(self.gathered) < self.limits.turn:
+            self.clients.resume()
         self.carry(orders)
 
     def carry(self, orders: list) -> None:
@@ -102,6 +108,8 @@
                     self.roster.observe(on)
                 case face.FetchRoster():
                     self.roster.fetch()
+                case face.Solve(search):
+                    self.clients.solve(search)
                 case _ if not isinstance(order, RELAYED):
                     self.log.error("an order that this protocol can't carry", order=type(order).__name__)
 
@@ -154,9 +162,15 @@
         if not self.ready and (late or self.roster.known):
             self.ready = True
             self.log.info("ready", servers=len(self.registry.servers), discovery=self.roster.known)
-            gc.freeze()  # a full collection over a large fleet's settings holds the loop for 50 ms
             self.clients.ready()
 
+    def settled(self) -> None:
+        """All that stands is known: a full collection over it holds the loop for 50 ms at a thousand servers,
+        and finds nothing.  Once, lest what is cast off with each new connection stays for ever."""
+        if not self.frozen:
+            self.frozen = True
+            self.clock.after(face.SECOND, gc.freeze)
+
     def reload(self) -> None:
         """SIGHUP moves the addresses of discovery and the relay, and keeps all state.  A call in hand ends
         where it began; the next ones and a fresh news connection, beside the old, go to the new address."""
--- a/flintreach/standins/collectors.py
+++ b/flintreach/standins/collectors.py
@@ -1,6 +1,6 @@
-"""Collectors that report by the thousand: an open loop of lines, and questions that show how soon one is heard.
+"""Collectors that report by the thousand in an open loop, and questions that show how soon a line is heard.
 
-Load goes to loopback alone, for a bounded time.  A line that would wait in the sender is not sent, and counted.
+Load goes to loopback alone, for a bounded time.  A line that would wait in the sender is counted, not sent.
 """
 
 import asyncio
@@ -13,16 +13,17 @@
 AGENT = '{"msg":"agent","site":"%s"}\n'
 
 
-def lines(servers: int, slices: int, number: int, seed: int, site: str = "north", mix: float = 0.5) -> list[bytes]:
+def lines(servers: int, slices: int, number: int, seed: int, site: str = "north",
+          mix: float = 0.5) -> list[bytes]:
     """Lines as a collector sends them: `mix` of them on servers, the others on slices."""
     rnd = random.Random(seed)
     rates = [rnd.lognormvariate(1.5, 0.8) for _ in range(slices)]
     found = []
     for place in range(number):
         if place < number * mix:
-            told = {"msg": "outcomes", "site": site, "target": f"s{rnd.randrange(servers)}", "count": rnd.randrange(5, 60),
-                    "fail": 0, "mean": round(rnd.uniform(20, 60), 1), "over": 1000.0,
-                    "util": {"cpu": round(rnd.uniform(0.2, 0.5), 2)}}
+            told = {"msg": "outcomes", "site": site, "target": f"s{rnd.randrange(servers)}",
+                    "count": rnd.randrange(5, 60), "fail": 0, "mean": round(rnd.uniform(20, 60), 1),
+                    "over": 1000.0, "util": {"cpu": round(rnd.uniform(0.2, 0.5), 2)}}
         else:
             piece = rnd.randrange(slices)
             told = {"msg": "hot", "range": piece, "lane": "look", "count": 1 + int(rates[piece]), "fail": 0,
@@ -33,7 +34,7 @@
 
 
 class Sender(asyncio.Protocol):
-    """One connection.  `held_back` counts the lines that it could not send as the other side reads too slowly."""
+    """One connection.  `held_back` counts lines not sent, as the other side reads too slowly."""
 
     def __init__(self, site: str, pool: list[bytes], place: int):
         self.site, self.pool, self.place, self.open = site, pool, place, True
@@ -119,7 +120,7 @@
         self.ports = [listener.getsockname()[1] for listener in self.listeners]
         self.told = [0] * servers
         self.taken: list[int] = []  # nanoseconds from the line's last byte to the probe
-        self.missed = 0
+        self.missed = self.again = 0
 
     def asked(self, place: int) -> None:
         if self.told[place]:
@@ -140,6 +141,10 @@
                 self.missed += 1
             line = {"msg": "outcomes", "site": site, "target": f"s{first + place}", "count": 10, "fail": 5,
                     "mean": 30.0, "over": 1000.0, "util": {"cpu": 0.3}}
+            if sender.transport.is_closing():  # as a collector, it dials again
+                self.missed += sum(map(bool, self.told))
+                self.told, self.again = [0] * len(self.told), self.again + 1
+                _, sender = await loop.create_connection(lambda: Sender(site, [], 0), *at)
             sender.transport.write(json.dumps(line).encode() + b"\n")
             self.told[place] = time.monotonic_ns()
             count += 1
--- a/flintreach/standins/program.py
+++ b/flintreach/standins/program.py
@@ -52,7 +52,7 @@
         self.process = subprocess.Popen([sys.executable, "-m", "flintreach", "serve"], stdout=subprocess.PIPE,
                                         env=os.environ | variables, cwd=self.tree)
         os.sched_setaffinity(0, allowed)
-        self.text = ""
+        self.text, self.lines = "", []
         line = self.logged("listening")
         self.port = int(line.split("at='127.0.0.1:")[1].split("'")[0])
 
@@ -66,6 +66,7 @@
                 self.text += data.decode()
                 continue
             self.text = rest
+            self.lines.append(line)
             if text in line:
                 return line
 
