--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -400,11 +400,12 @@
         scale = sum(quota.values()) * share / max(sum(unit.rate for unit in units), 1e-9)
         gap = {tgt: part * (tgt.extra - share) for tgt, part in quota.items()}
         # A slice may grow hot before its smoothed demand tells, and a storm's repeats fell a cold server too.
-        amounts = {unit: (unit.rate * scale, unit.press / (self.proven or 1 / scale)) for unit in units}
-        for unit in units:
+        each = self.proven or 1 / max(scale, 1e-9)
+        amounts = {unit: (unit.rate * scale, unit.press / each) for unit in units}
+        for unit, pair in amounts.items():
             for tgt in unit.want:
                 if tgt in gap:
-                    gap[tgt] += amounts[unit][tgt.mode in TENDER] / len(unit.want)
+                    gap[tgt] += pair[tgt.mode in TENDER] / len(unit.want)
         return amounts, gap
 
     def evacuate(self):
@@ -533,12 +534,13 @@
             self.count(unit, demand[unit][False] / 100, 1 if self.settings.exclusive else len(tgts), full)
         yield 2 * len(units)
         share, memory = len(units) / len(self.units), MEMORY * 100 * len(tgts) / len(self.units)
-        amounts = [[part / unit.copies for part in demand[unit]] for unit in units] + [[0.0, 0.0]]
+        amounts = [(usual / unit.copies, most / unit.copies) for unit, (usual, most) in demand.items()]
         place, old, starts = {tgt: x for x, tgt in enumerate(tgts)}, [set() for _ in tgts], []
         for p, unit in enumerate(units):
             starts.append([*unit.want])
-            for tgt in unit.want.keys() & place.keys():
-                old[place[tgt]].add(p)
+            for tgt in unit.want:
+                if tgt in place:
+                    old[place[tgt]].add(p)
         tender = {x: share * quota[t] for x, t in enumerate(tgts) if t.mode in TENDER}
         room = [len(held) * memory - MEMORY * share * quota[tgt] for held, tgt in zip(old, tgts)]
         changed = [(p, sorted(place[tgt] for tgt in unit.want if tgt in place), unit.copies)
@@ -546,7 +548,7 @@
         states = [(tgt.mode, tgt.gained) for tgt in tgts]
         yield 2 * len(units)
         self.dev, gained = max(DEV, self.dev - STEP), [gained for _, gained in states]
-        start = Partition(old, room, [*gap.values()], amounts, memory, tender, gained, empty)
+        start = Partition(old, room, [*gap.values()], amounts + [(0.0, 0.0)], memory, tender, gained, empty)
         search = Search(self.settings.seed, self.counter, start, changed, self.settings.elsewhere)
         if search.widest <= self.dev + BAND and not changed:
             return
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -97,6 +97,7 @@
         fleet.now += SECOND
         hot = [face.Demand(piece, None, fleet.ops[0], 60, 55, SECOND) for piece in fleet.slices[4:6]]
         fleet.say(*hot, face.Woke(0))
+        fleet.go_on(fleet.now + SECOND // 5)
     assert len(fleet.holds(cold)) <= 1
 
 
