--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -78,9 +78,8 @@
 
     def go_on(self, due):
         """A second's work goes on in turns."""
-        while wakes := [order.at for order in self.replies[-1][1]
-                        if isinstance(order, face.Wake) and order.at < due]:
-            self.now = max(wakes)
+        while self.pilot.work and self.now + self.settings.tick < due:
+            self.now += self.settings.tick
             self.say(face.Woke(0))
 
     def sums(self):
--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -570,3 +570,34 @@
     peer.send(outcomes("s1", 3))
     shop.until(lambda: shop.sums())
     assert [(event.server, event.tries) for event in shop.sums()] == [(fresh, 3)]
+
+
+def test_a_search_that_its_process_does_not_end_is_left_to_the_decisions(shop):
+    fleet = Fleet(servers=12, slices=60, demand=9)
+    start = logic.Partition([set() for _ in range(12)], [0.0] * 12, [0.0] * 12, [(1.0, 1.0)] * 61, 1.0, {},
+                            [False] * 12)
+    front, searches = shop.service.clients, [
+        logic.Search(seed, 0, start, [(n, [], 1) for n in range(60)], True) for seed in range(3)]
+
+    def solved(search):
+        found = [event for event in shop.recorder.seen if isinstance(event, face.Solved)]
+        return [event for event in found if event.search is search]
+
+    shop.until(lambda: front.solver.serves)
+    front.solve(searches[0])
+    shop.until(lambda: solved(searches[0]))
+    (event,) = solved(searches[0])
+    here = logic.Search(0, 0, start, [(n, [], 1) for n in range(60)])
+    for _ in here.steps():
+        pass
+    assert event.best == here.best and event.counter == here.counter
+    process = front.solver.process
+    os.kill(process.pid, signal.SIGSTOP)
+    front.solve(searches[1])
+    process.kill()
+    shop.until(lambda: solved(searches[1]))
+    assert solved(searches[1])[0].best is None
+    front.solve(searches[2])  # none serves now
+    shop.until(lambda: solved(searches[2]))
+    shop.until(lambda: front.solver.serves and front.solver.process is not process)
+    assert len(fleet.slices) == 60
