Graphite and collectd, thin end to end: figures out, delayed evidence in

telemetry: one table of names, counters by turn, gauges read when sent, plaintext and pickle with a bounded spool, an hour of history by Graphite's own file format, sub-command figures. evidence: collectd's datagrams, signed and encrypted, Graphite lines, a ledger with a table of states and found clocks. Into the module goes one event with its age; it can only add to what a server reports, so silence frees nobody.

--- a/flintreach/__main__.py
+++ b/flintreach/__main__.py
@@ -32,12 +32,23 @@
     from flintreach.net import run
 
     config, operator = configured(path), operated(own)
-    cores = operator and operator.block("cores")
-    if not cores or not cores.workers:
+    if operator is None:
         sys.exit(run.run(config))
-    from flintreach.cores.front import Front
+    cores, parts = operator.block("cores"), []
+    front = run.Clients
+    if cores and cores.workers:
+        from flintreach.cores.front import Front
 
-    sys.exit(run.run(config, lambda service: Front(service, cores)))
+        front = lambda service: Front(service, cores)  # noqa: E731
+    if block := operator.block("evidence"):
+        from flintreach.evidence.intake import Intake
+
+        parts.append(lambda service, block=block: Intake(service, block))
+    if block := operator.block("telemetry"):
+        from flintreach.telemetry.sender import Telemetry
+
+        parts.append(lambda service, block=block: Telemetry(service, block))
+    sys.exit(run.run(config, front, parts))
 
 
 def commands():
@@ -72,6 +83,14 @@
             for line in says(file):
                 typer.echo(line)
 
+    @app.command()
+    def figures(directory: Path, match: str = typer.Option("", help="Only names that hold this text."),
+                as_json: bool = typer.Option(False, "--json", help="Points as JSON.")) -> None:
+        """Show the last hour that a pilot has kept in a directory."""
+        from flintreach.telemetry import show
+
+        sys.exit(show.show(directory, match, as_json))
+
     return app
 
 
--- a/flintreach/cores/front.py
+++ b/flintreach/cores/front.py
@@ -129,6 +129,7 @@
         self.door, self.told = None, set()  # told: numbers of servers that it knows
         self.owed: list[int] = []  # nanoseconds that its records took, until they are handled
         self.waiting = self.lines = self.busy = 0
+        self.open_now = 0, 0  # strangers and collectors
 
     def begin(self, channel: socket.socket) -> tuple:
         self.door, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
@@ -163,6 +164,7 @@
             self.sums(message)
         elif isinstance(message, words.Beat):
             self.waiting, self.lines, self.busy = message.waiting, message.lines, message.busy
+            self.open_now = message.open
             for what, (number, figures) in message.counts.items():
                 self.service.count(what, figures, number)
             for number in message.gone:
@@ -352,6 +354,14 @@
                 hand.link.tell(words.Sign(self.service.ready, took))
             hand.owed = []
 
+    def figures(self) -> dict[str, float]:
+        """What all workers have, once."""
+        hands = [hand for hand in self.hands if hand.serves]
+        found = {"workers.serving": len(hands), "workers.waiting": sum(hand.waiting for hand in hands)}
+        for place, name in enumerate(("clients.strangers", "clients.collectors")):
+            found[name] = sum(hand.open_now[place] for hand in hands)
+        return found
+
     def all(self) -> list[Hand]:
         return [*self.hands, self.solver] if self.solver else self.hands
 
--- a/flintreach/cores/words.py
+++ b/flintreach/cores/words.py
@@ -70,6 +70,7 @@
     waiting: int  # rows not yet sent
     lines: int  # read since the start
     busy: int  # nanoseconds of processor time
+    open: tuple[int, int]  # strangers and collectors
 
 
 class Sums(msgspec.Struct, tag="sums", array_like=True):
--- a/flintreach/cores/worker.py
+++ b/flintreach/cores/worker.py
@@ -148,10 +148,11 @@
         """Also the word by which a worker that hangs is known; a deciding process that does not read gets no
         more of them."""
         if not self.link.transport.get_write_buffer_size():
-            counts, gone = self.counts, self.gone
+            counts, gone, mates = self.counts, self.gone, self.clients.open
             self.counts, self.gone = {}, []
             self.link.tell(words.Beat(counts, gone, len(self.fold), self.clients.lines,
-                                      time.process_time_ns()))
+                                      time.process_time_ns(), (len(mates["stranger"]) + len(mates["asking"]),
+                                                               len(mates["collector"]))))
         self.clock.after(self.told.sign, self.beat)
 
 
--- /dev/null
+++ b/flintreach/evidence/block.py
@@ -0,0 +1,28 @@
+"""What the operator sets of others' figures: the block `evidence`."""
+
+from dataclasses import dataclass
+
+from flintreach.operator import count, one_of, table, text
+
+ADDRESS = r"[^\s:]+:\d{1,5}|\[[0-9a-fA-F:]+\]:\d{1,5}"
+
+
+@dataclass(frozen=True, slots=True)
+class Block:
+    """Addresses are numeric: names are not looked up."""
+
+    listen: str = text("", ADDRESS, 'an address such as "127.0.0.1:25826"')  # for datagrams
+    lines: str = text("", ADDRESS, 'an address such as "127.0.0.1:2003"')  # for Graphite lines
+    keys: str = text("")  # collectd's file of users and passwords, read again when it changes
+    accept: str = one_of("signed", "signed", "any")  # of datagrams; lines carry no signature: with "any" alone
+    hosts: dict = table({})  # collectd's name of a host, to the list's of its server
+    packets: int = count(1000, 1, 1_000_000)  # a second from one address; what is more is dropped unread
+    interval: int = count(10, 1, 600)  # seconds between lines of one series: lines do not tell it
+
+    def __post_init__(self) -> None:
+        if not self.listen and not self.lines:
+            raise ValueError("listen: expected an address here or in lines")
+        if self.lines and self.accept != "any":
+            raise ValueError("lines: expected accept = \"any\", since lines carry no signature")
+        if self.accept == "signed" and not self.keys:
+            raise ValueError("keys: expected a file, since only signed datagrams are accepted")
--- a/flintreach/evidence/ledger.py
+++ b/flintreach/evidence/ledger.py
@@ -1,8 +1,8 @@
 """What is known of each host, how old it is, and whether it may count.  Pure.
 
 A figure has a time at which it was true by the sender's clock, one at which it came, and an interval after
-which the next is due.  Evidence speaks only while it is fresh; silence changes nothing, late points are put where
-they belong and move nothing now, and a figure that contradicts what the pilot's own sums say does not count.
+which the next is due.  Evidence speaks only while it is fresh; silence changes nothing, late points are put
+where they belong and move nothing now, and one that contradicts what the pilot's own sums say does not count.
 """
 
 from collections import deque
--- a/flintreach/evidence/packet.py
+++ b/flintreach/evidence/packet.py
@@ -1,7 +1,7 @@
 """collectd's binary network protocol: one datagram, its parts, its signature or its encryption.  Pure.
 
-Source: collectd's published description of the binary protocol.  A part is a type, a length over all of it, and
-its content; what a part says holds until another of its type.  Times are whole nanoseconds.
+Source: collectd's published description of the binary protocol.  A part is a type, a length over all of it,
+and its content; what a part says holds until another of its type.  Times are whole nanoseconds.
 """
 
 import hashlib
--- a/flintreach/interface.py
+++ b/flintreach/interface.py
@@ -149,6 +149,15 @@
     kind: tuple[bool, ...] | None = None  # of the lines that it sums up, by the decisions; None: one line
 
 
+@dataclass(slots=True)
+class Measured:
+    """What a server's host says of itself, by others' means: the part of its processors that works."""
+
+    server: Server
+    busy: float
+    age: int  # since it was true
+
+
 @dataclass(slots=True)
 class Demand:
     """Invocations that came for a slice; without slices, to a proxy."""
--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -37,8 +37,8 @@
 EFFORT, A_STEP = 6000, 150  # of a second's work in a turn, of a move or swap: about microseconds of a core
 ROOM = 0.5, 0.55, 0.62  # parts of the channel's limit to fill: with what can wait, bad health, and drains
 
-# What a server is to us, what comes in, what it becomes, and what is done.  A pair that is not here is
-# refused: the server stays as it is.  Closed servers hold no lines; tender ones gain one slice a run at most.
+# What a server is to us, what comes in, what it becomes, what is done; any other pair changes nothing.
+# Closed servers hold no lines; tender ones gain one slice a run at most.
 MODES = {
     ("any", "leave"): ("leaving", None),
     ("any", "started"): ("cold", "relieve"),
@@ -50,13 +50,11 @@
     ("trial", "sound"): ("fit", None),
     ("out", "due"): ("trial", None),
 }
-CLOSED, TENDER = ("unknown", "out", "leaving"), ("cold", "trial")
-NONE = -1  # in place of a slice, where a swap is a move; its demand stands last and is 0
+CLOSED, TENDER, NONE = ("unknown", "out", "leaving"), ("cold", "trial"), -1  # no slice: a swap is a move
 
 
 def kind(line, objective):
-    """What a line of sums is judged by alone: those of one kind may be summed up, and no verdict is lost.
-    Of demand: is it a storm?  Of a server: is it suspect, is it jammed, does nothing wait by its report?"""
+    """Lines of one kind may be summed up: (a storm), or of a server (suspect, jammed, nothing waits)."""
     if isinstance(line, face.Demand):
         return (line.unanswered > STORM * line.tries,)
     signs = [value < QUIET[name] for name, value in line.load.items() if name in QUIET]
@@ -91,7 +89,7 @@
         self.gained = self.idle = False  # a slice since the last run; nothing waits, by its own report
         self.late, self.part = 1.0, 0.0  # mean latency when last known, in parts of what strains; unanswered
         self.asked = self.mute = self.moved = 0  # when it was asked, gave no answer, and got or lost slices
-        self.full, self.extra = None, 0.0  # load by its report; what others' slices and its kind add to ours
+        self.full, self.extra, self.host = None, 0.0, 0.0  # load by its report; what is not ours; by its host
         self.bears = self.level = 1.0  # parts: of its weight that it bears, of the cheapest operation let in
 
 
@@ -241,13 +239,12 @@
         self.units = {piece: Unit(piece) for piece in settings.slices}
         self.whole = None if settings.slices else Unit(face.Slice(0), True)  # without slices: one table
         self.units |= {self.whole.slice: self.whole} if self.whole else {}
-        self.joined = {}  # proxy -> deque of (mark, lines, time) not yet applied
-        self.shut = {}  # targets that joined proxies are told to keep away from, in order
+        self.joined, self.shut = {}, {}  # proxy -> deque of (mark, lines, time) not applied; targets shut out
         self.wake_at = self.judge_at = self.sent_at = self.marks = 0
         self.fleet, self.level = Target(None), 1.0  # as its middle server; the level that is in force
         self.proven = 0.0  # most answers a second seen for a hundredth of a mean server
-        self.dev, self.stir = DEV, False  # stir: something came that may want orders at once
-        self.work, self.go_at, self.owed, self.mine = None, 0, 0, None  # a second's work; our units
+        self.dev, self.stir, self.mine = DEV, False, None  # stir: it may want orders at once; mine: our units
+        self.work, self.go_at, self.owed = None, 0, 0  # a second's work; when it goes on, at what cost
         self.ops = sorted(settings.operations, key=lambda op: op.billed_value)  # the cheapest first
 
     def handle(self, now, events):
@@ -307,7 +304,7 @@
             if entry.state != "ready":
                 self.step(tgt, "leave", entry.state)
             elif fresh and self.warmth(tgt) < 1:  # its old load may still be there
-                tgt.heard = Ring(RECENT + 2, 3)
+                tgt.heard, tgt.host = Ring(RECENT + 2, 3), 0.0
                 self.step(tgt, "started", f"{(self.now - tgt.started) / 1e9:.1f}s ago")
             elif tgt.mode in ("unknown", "leaving"):
                 self.step(tgt, "ready")
@@ -345,6 +342,10 @@
         if jammed and not tgt.idle:
             self.step(tgt, "strained")
 
+    def on_measured(self, event):  # it only adds to a report, and stands through silence, which frees nobody
+        if event.age < TURN:
+            self.target(event.server).host = event.busy
+
     def on_probed(self, event):
         if event.status in ("connect_failed", "timeout", "reset"):
             self.target(event.server).mute = self.now
@@ -493,11 +494,11 @@
                 self.step(tgt, "failing", f"{why}, {len(dead)} such")
 
     def weigh(self):
-        """What servers report of their load beyond what our slices explain: those of other pilots, and what a
-        slow server makes of ours.  Each pilot mends its share of it, lest all mend it twice."""
+        """Load beyond what our slices explain; each pilot mends its share of it, lest all mend it twice."""
         quota, share = self.quotas(), len(self.ours()) / len(self.units)
         gap = self.loads(quota)[1]
-        full = {tgt: tgt.full for tgt in quota if tgt.full is not None and self.now - tgt.heard_at < TURN}
+        known = [tgt for tgt in quota if tgt.full is not None and self.now - tgt.heard_at < TURN]
+        full = {tgt: max(tgt.full, tgt.host) for tgt in known}
         mean = sum(full[tgt] * quota[tgt] for tgt in full) / max(1, sum(quota[tgt] for tgt in full))
         slack = min(1.0, max(0.0, 1 - mean) / SLACK)  # where all are full, what sets them apart is noise
         for tgt in quota:
--- a/flintreach/net/clients.py
+++ b/flintreach/net/clients.py
@@ -197,6 +197,10 @@
     def end(self) -> None:
         """Connections end with the process."""
 
+    def figures(self) -> dict[str, float]:
+        return {"clients.collectors": len(self.open["collector"]), "workers.serving": 0, "workers.waiting": 0,
+                "clients.strangers": len(self.open["stranger"]) + len(self.open["asking"])}
+
     def add(self, client: Client) -> None:
         """The oldest stranger makes room for one, and the collector silent the longest for a collector:
         machines that vanished say nothing."""
--- a/flintreach/net/run.py
+++ b/flintreach/net/run.py
@@ -41,19 +41,25 @@
     return structlog.get_logger(pilot=name)
 
 
-def run(config, front=Clients) -> int:
-    """Until a signal ends it; `front(service)` is what takes the connections to us."""
+def run(config, front=Clients, parts=()) -> int:
+    """Until a signal ends it; `front(service)` is what takes the connections to us, each of `parts(service)`
+    starts and stops with it."""
     log, loop = logger(config.name), uvloop.new_event_loop()
     service = Service(config, loop, log, front)
     for sign in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(sign, service.stop, 0)
     loop.add_signal_handler(signal.SIGHUP, service.reload)
+    parts = [part(service) for part in parts]
     try:
         loop.run_until_complete(service.start())
+        for part in parts:
+            loop.run_until_complete(part.start())
     except OSError as error:
         log.error("can't listen", error=str(error))
         return 1
     if not service.status:
         loop.run_forever()
+    for part in parts:
+        part.stop()
     service.clients.end()
     return service.status
--- a/flintreach/net/service.py
+++ b/flintreach/net/service.py
@@ -39,6 +39,8 @@
         self.roster, self.servers, self.pilots = Roster(self), Servers(self), None
         self.longest = self.turns = self.deepest = 0
         self.frozen = False
+        self.sources: list = []  # of figures that parts have: functions that give names and values
+        self.taps: list = []  # they see each turn: its time, events, orders, and how long it took
         loop.set_exception_handler(self.fault)
 
     # What comes in.
@@ -83,6 +85,8 @@
         self.turns, self.longest = self.turns + 1, max(self.longest, took)
         if took > self.limits.slow_turn:
             self.count("slow turn")
+        for tap in self.taps:
+            tap(began, events, orders, took)
         if self.gathered and not self.turn_due:
             self.turn_due = True
             self.clock.after(self.settings.tick, self.turn)
--- a/flintreach/operator.py
+++ b/flintreach/operator.py
@@ -27,7 +27,7 @@
 
 def told(default: Any, read: Callable[[object], Any], expected: str):
     """A field of a block: `read` gives its value or raises ValueError, `expected` says what it takes."""
-    made = {"default_factory": lambda: default} if isinstance(default, list) else {"default": default}
+    made = {"default_factory": default.copy} if isinstance(default, dict) else {"default": default}
     return field(**made, metadata={"read": read, "expected": expected})
 
 
@@ -99,6 +99,16 @@
     return told(default, read, expected)
 
 
+def table(default: dict):
+    """Texts by names, such as { "host-1" = "s1" }."""
+    def read(value: object) -> dict[str, str]:
+        if not isinstance(value, dict) or not all(
+                type(name) is str and type(entry) is str and entry for name, entry in value.items()):
+            raise ValueError
+        return {name.strip('"'): entry for name, entry in value.items()}
+    return told(default, read, "texts by names, { name = \"text\" }")
+
+
 def one_of(default: str, *words: str):
     return text(default, "|".join(map(re.escape, words)), "one of " + ", ".join(words))
 
--- /dev/null
+++ b/flintreach/telemetry/measures.py
@@ -0,0 +1,77 @@
+"""The registry of measures.  What passes through a turn is counted; the rest is read when it is sent."""
+
+import os
+import time
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+from flintreach import interface as face
+from flintreach.telemetry.names import BY_NAME, NAMES, PARTS
+
+LONGEST = 60_000_000  # microseconds: the longest turn that the histogram tells apart
+ORDERS = {face.SetLine: "orders.lines", face.Withdraw: "orders.shut", face.Admit: "orders.levels",
+          face.Mark: "orders.marks", face.Probe: "orders.probes"}
+PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+class Measures:
+    """`snapshot()` gives the value of each path; a gauge that has none is absent, never 0."""
+
+    def __init__(self, service):
+        self.service, self.counters = service, Counter()
+        self.spans = {name.name: HdrHistogram(1, LONGEST, 2) for name in NAMES if name.kind == "histogram"}
+        service.taps.append(self.tap)
+
+    def tap(self, now: int, events: list, orders: list, took: int) -> None:
+        """`took` in nanoseconds."""
+        counters = self.counters
+        counters["turns.count"] += 1
+        counters["turns.events"] += len(events)
+        self.spans["turns.time"].record_value(max(1, min(LONGEST, took // 1000)))
+        for event in events:
+            kind = type(event)
+            if kind is face.Heard:
+                counters["reports.servers"] += 1
+                counters["reports.tries"] += event.tries
+                counters["reports.unanswered"] += event.unanswered
+            elif kind is face.Demand:
+                counters["reports.slices"] += 1
+        for order in orders:
+            name = ORDERS.get(type(order))
+            if name:
+                counters[name] += 1
+
+    def gauges(self) -> dict[str, float]:
+        service, pilot = self.service, self.service.pilot
+        modes = Counter(tgt.mode for tgt in pilot.targets.values())
+        with open("/proc/self/statm") as file:
+            resident = int(file.read().split()[1]) * PAGE / 2**20
+        found = {
+            "turns.deepest": service.deepest, "turns.waiting": len(service.gathered),
+            "reports.lines": service.clients.lines, "relay.waiting": len(service.calls.waiting),
+            "relay.flight": len(service.calls.flight), "relay.doubt": int(service.calls.state == "doubt"),
+            "channel.lines": sum(lines for row in pilot.joined.values() for _, lines, _ in row),
+            "news.proxies": len(service.news.joined), "news.slices": len(service.news.tables),
+            "level.fleet": pilot.level, "warnings.count": sum(service.counts.values()),
+            "process.cpu": time.process_time(), "process.memory": round(resident, 2),
+            **{f"servers.{mode}": modes[mode] for mode in
+               ("fit", "cold", "out", "trial", "leaving", "unknown")},
+            **service.clients.figures()}
+        for source in service.sources:
+            found |= source()
+        return found
+
+    def snapshot(self) -> dict[str, float]:
+        """All paths and their values; histograms begin anew."""
+        found = {name.name: self.counters[name.name] for name in NAMES if name.kind == "counter"}
+        found |= {name: value for name, value in self.gauges().items() if name in BY_NAME}
+        for name, span in self.spans.items():
+            count = span.get_total_count()
+            values = (count, span.get_value_at_percentile(50), span.get_value_at_percentile(99),
+                      span.get_max_value())
+            for part, value in zip(PARTS, values):
+                if part == "count" or count:  # without a turn there is no time of one
+                    found[f"{name}.{part}"] = value if part == "count" else value / 1000
+            span.reset()
+        return found
