--- a/benchmarks/cores.py
+++ b/benchmarks/cores.py
@@ -33,7 +33,6 @@
 # Processes of a pilot by the cores that it is given; one decides.
 PLANS = {2: "workers = 1\n search = false", 3: "workers = 1", 4: "workers = 2", 6: "workers = 4",
          8: "workers = 6"}
-LINE = 95  # bytes of a line, on average
 SAMPLED = 130  # servers whose probes are listened to: a hundred questions a second
 TICK = os.sysconf("SC_CLK_TCK")
 
@@ -77,16 +76,6 @@
     return [process, *map(int, children)]
 
 
-def unread(port: int) -> int:
-    """Bytes on their way to that port, or arrived there and not read."""
-    found, wanted = 0, f":{port:04X}"
-    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-        _, here, there, _, queues, *_ = line.split()
-        sending, arrived = (int(part, 16) for part in queues.split(":"))
-        found += arrived * here.endswith(wanted) + sending * there.endswith(wanted)
-    return found
-
-
 def parts(at, load_cores, loaders, connections, rate, seconds, size, sampler):
     """The processes that load, and the one that samples; all begin at one word."""
     context, ends, found = multiprocessing.get_context("fork"), [], []
@@ -112,8 +101,8 @@
 
 def measure(cores: int, rate: float, seconds: float, size: tuple[int, int, int], loaders: int,
             connections: int, tree: str | None) -> dict:
-    """One row.  `tree`: another checkout of this program, as its baseline on one core.  What waits unread in
-    the system's buffers does not count as taken."""
+    """One row.  `tree`: another checkout of this program, as its baseline on one core.  Taken is what
+    the pilot itself has read; what waits in buffers does not count."""
     mine = CORES[:cores]
     others = CORES[cores:] or CORES
     sampler = Sampler(SAMPLED)
@@ -130,10 +119,8 @@
             ends, found = parts(at, others, loaders, connections, rate, seconds, size, sampler)
             time.sleep(seconds / 2)
             before = {process: usage(process) for process in family(program.process.pid)}
-            waited = unread(program.port)
             time.sleep(seconds / 2 - 0.5)
             after = {process: usage(process) for process in before}
-            waited = unread(program.port) - waited
             answers = [end.recv() for end in ends]
             for process in found:
                 process.join()
@@ -151,7 +138,7 @@
     figures = dict(re.findall(r"(\w+)=(\d+)", stopped))
     return {
         "cores": cores, "rate": rate,
-        "taken": round(sum(answer["rate"] for answer in answers) - waited / LINE / span),
+        "taken": round(int(figures["lines"]) / seconds) if "lines" in figures else None,
         "held_back": sum(answer["held_back"] for answer in answers),
         "resets": sum(answer["resets"] for answer in answers),
         **{f"p{str(q).replace('.', '_')}_ms": histogram.get_value_at_percentile(q) / 1000
--- a/deploy/flintreach.hcl
+++ b/deploy/flintreach.hcl
@@ -14,3 +14,21 @@
 #   pause_longest = "10s"    # it doubles with each end up to this
 #   steady        = "30s"    # of service, after which a worker's earlier ends are forgotten
 # }
+
+# telemetry {
+#   graphite = "127.0.0.1:2003"   # numeric: names are not looked up
+#   protocol = "plaintext"        # or "pickle"
+#   prefix   = "flintreach"
+#   tags     = { site = "north" } # beside pilot=NAME
+#   every    = "10s"
+#   spool    = "4MiB"             # of what waits for a receiver; the oldest is dropped
+#   history  = "/var/lib/flintreach/history"   # without one the last hour is in memory alone
+# }
+
+# evidence {
+#   listen  = "127.0.0.1:25826"   # collectd's datagrams
+#   accept  = "signed"            # or "any"
+#   keys    = "/etc/flintreach/collectd.users"
+#   hosts   = { "sym-1" = "s-5be2a07c" }   # host, as collectd names it, to server
+#   packets = 1000                # a second from one address; what is more is dropped unread
+# }
--- a/flintreach/evidence/block.py
+++ b/flintreach/evidence/block.py
@@ -14,7 +14,7 @@
     listen: str = text("", ADDRESS, 'an address such as "127.0.0.1:25826"')  # for datagrams
     lines: str = text("", ADDRESS, 'an address such as "127.0.0.1:2003"')  # for Graphite lines
     keys: str = text("")  # collectd's file of users and passwords, read again when it changes
-    accept: str = one_of("signed", "signed", "any")  # of datagrams; lines carry no signature: with "any" alone
+    accept: str = one_of("signed", "signed", "any")  # of datagrams; lines need "any"
     hosts: dict = table({})  # collectd's name of a host, to the list's of its server
     packets: int = count(1000, 1, 1_000_000)  # a second from one address; what is more is dropped unread
     interval: int = count(10, 1, 600)  # seconds between lines of one series: lines do not tell it
--- a/flintreach/evidence/ledger.py
+++ b/flintreach/evidence/ledger.py
@@ -113,13 +113,14 @@
     interval: int = 10 * SECOND
     newest: int = 0  # when its newest figure was true, on our clock
     came: int = 0  # when it came
-    points: int = 0  # in a row, while it settles
+    points: int = 0  # rounds in a row, while it settles
+    counted: int = 0  # when the last of them was true
     busy: float | None = None  # part of its processors that work
     sender: object = None  # one address speaks for a host
     heard: int = 0  # when that one spoke last
     clock: Clock = field(default_factory=Clock)
     series: dict[tuple, Series] = field(default_factory=dict)
-    round: dict[str, dict[str, float]] = field(default_factory=dict)  # processor, then what it does
+    round: dict[str, dict[str, tuple[int, float]]] = field(default_factory=dict)  # processor, what it does
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,39 +190,38 @@
         return self.processors(host, value, series, time, came)
 
     def processors(self, host: Host, value: Value, series: Series, time: int, came: int) -> Evidence | None:
-        """Idle time against all time, over the processors that told of both at this round."""
-        if time > host.newest + value.interval // 2:  # a new round: what the last one said is whole
-            host.round = {}
+        """Idle time against all time, over the processors that told of both in this round or the last: they
+        tell one by one, and the first of them alone is not the host."""
         if series.rate is None:
             return None
+        host.round.setdefault(value.plugin_instance, {})[value.type_instance] = time, series.rate
         if time + value.interval // 2 < host.newest:
             self.count("late point")  # it stands in its series, and says nothing of now
             return None
-        host.round.setdefault(value.plugin_instance, {})[value.type_instance] = series.rate
-        begun = time > host.newest + value.interval // 2
         host.newest = max(host.newest, time)
         if value.type_instance != "idle":
             return None
-        idle, every = 0.0, 0.0
-        for processor in host.round.values():
-            if "idle" in processor:
-                idle += processor["idle"]
-                every += 100.0 if value.type == "percent" or len(processor) == 1 else sum(processor.values())
+        idle = every = 0.0
+        for rows in host.round.values():
+            fresh = {what: rate for what, (when, rate) in rows.items() if time - when < LATE * value.interval}
+            if "idle" in fresh:
+                idle += fresh["idle"]
+                every += 100.0 if value.type == "percent" or len(fresh) == 1 else sum(fresh.values())
         if every <= 0:
             return None
         host.busy = min(1.0, max(0.0, 1 - idle / every))
-        return self.point(host, time, came, begun)
+        return self.point(host, time, came)
 
-    def point(self, host: Host, time: int, came: int, begun: bool) -> Evidence | None:
+    def point(self, host: Host, time: int, came: int) -> Evidence | None:
         """It says something of now only if it is of now: a late burst is of then."""
         if came - time > LATE * host.interval:
             self.count("late point")
             return None
         host.came = came
         effect = self.step(host, "point")
-        if host.state == "settling":
+        if host.state == "settling" and time > host.counted + host.interval // 2:
             # After a silence the first figure may be of a host that has just come back, or of a burst's end.
-            host.points += begun
+            host.points, host.counted = host.points + 1, time
             if host.points >= SETTLED:
                 effect = self.step(host, "settled")
         return self.says(host, came) if effect == "tell" else None
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -4,6 +4,7 @@
 import os
 import subprocess
 import sys
+from pathlib import Path
 
 import pytest
 
@@ -50,6 +51,15 @@
     assert operator.load(None, {}) is None
 
 
+def test_what_the_shipped_file_shows_can_be_switched_on(tmp_path):
+    shown = Path("deploy/flintreach.hcl").read_text()
+    path = tmp_path / "own.hcl"
+    lines = shown[shown.index("# cores"):].splitlines()
+    path.write_text("\n".join(line.removeprefix("# ") for line in lines))
+    assert set(operator.load(str(path)).blocks) == set(operator.known())
+    assert operator.load("deploy/flintreach.hcl").blocks == {}
+
+
 @pytest.mark.parametrize("command, workers, status", [
     ("serve", "2.5", 2), ("check-config", "2.5", 2), ("check-config", "2", 0)])
 def test_the_command_line_reads_it_before_anything_starts(tmp_path, command, workers, status):
