--- a/flintreach/__main__.py
+++ b/flintreach/__main__.py
@@ -28,12 +28,22 @@
         sys.exit(2)
 
 
+def fitting(config, operator) -> None:
+    """What the operator wants must keep the platform's limits."""
+    cores = operator.block("cores")
+    why = cores and cores.fits(config.told.get("limits") or {})
+    if why:
+        print(f"flintreach: {operator.path}: cores: {why}", file=sys.stderr)
+        sys.exit(2)
+
+
 def run(path: Path | None, own: Path | None = None):
     from flintreach.net import run
 
     config, operator = configured(path), operated(own)
     if operator is None:
         sys.exit(run.run(config))
+    fitting(config, operator)
     cores, parts = operator.block("cores"), []
     front = run.Clients
     if cores and cores.workers:
@@ -75,6 +85,8 @@
     def check_config(config: Path = option, operator: Path = own) -> None:
         """Read the configuration as serve does, and say what it holds."""
         told, file = configured(config), operated(operator)
+        if file:
+            fitting(told, file)
         typer.echo(f"{told.name}: {len(told.settings.slices)} slices, {told.settings.proxies} proxies, "
                    f"{len(told.settings.operations)} operations; listens at {told.listen}")
         if file:
--- a/flintreach/cores/block.py
+++ b/flintreach/cores/block.py
@@ -4,6 +4,9 @@
 
 from flintreach.operator import count, duration, share, switch
 
+DECIDES_MB, WORKER_MB = 32, 32  # resident at the least, of the deciding process and of each other
+DECIDES, EACH = 48, 6  # descriptors beside connections, of the deciding process and for each other
+
 
 @dataclass(frozen=True, slots=True)
 class Block:
@@ -25,3 +28,23 @@
         for small, large in (("sign", "stale"), ("sign", "hang"), ("pause_first", "pause_longest")):
             if getattr(self, small) > getattr(self, large):
                 raise ValueError(f"{small}: expected no more than {large}")
+
+    @property
+    def processes(self) -> int:
+        """Beside the deciding one."""
+        return self.workers + (self.search and self.workers > 0)
+
+    def fits(self, limits: dict) -> str | None:
+        """Why the platform's limits, which all processes share, do not hold them; None where they do.
+
+        >>> Block(workers=3).fits({"memory_mb": 64, "sockets": 1024})
+        'workers: 5 processes want 160 MB and 72 descriptors, of 64 and 1024 allowed'
+        >>> Block(workers=3).fits({"memory_mb": 192, "sockets": 256}), Block().fits({"memory_mb": 16})
+        (None, None)
+        """
+        memory, sockets = limits.get("memory_mb", 192), limits.get("sockets", 1024)
+        wanted = DECIDES_MB + WORKER_MB * self.processes, DECIDES + EACH * self.processes
+        if not self.workers or wanted[0] <= memory and wanted[1] <= sockets // 2:
+            return None
+        return (f"workers: {1 + self.processes} processes want {wanted[0]} MB and {wanted[1]} descriptors, "
+                f"of {memory} and {sockets} allowed")
--- a/flintreach/cores/front.py
+++ b/flintreach/cores/front.py
@@ -381,3 +381,4 @@
         if self.listener:
             self.accepting(False)
             self.listener.close()
+            self.listener = None
--- a/flintreach/evidence/block.py
+++ b/flintreach/evidence/block.py
@@ -2,17 +2,15 @@
 
 from dataclasses import dataclass
 
-from flintreach.operator import count, one_of, table, text
-
-ADDRESS = r"[^\s:]+:\d{1,5}|\[[0-9a-fA-F:]+\]:\d{1,5}"
+from flintreach.operator import count, one_of, place, table, text
 
 
 @dataclass(frozen=True, slots=True)
 class Block:
     """Addresses are numeric: names are not looked up."""
 
-    listen: str = text("", ADDRESS, 'an address such as "127.0.0.1:25826"')  # for datagrams
-    lines: str = text("", ADDRESS, 'an address such as "127.0.0.1:2003"')  # for Graphite lines
+    listen: str = place()  # for datagrams
+    lines: str = place()  # for Graphite lines
     keys: str = text("")  # collectd's file of users and passwords, read again when it changes
     accept: str = one_of("signed", "signed", "any")  # of datagrams; lines need "any"
     hosts: dict = table({})  # collectd's name of a host, to the list's of its server
--- a/flintreach/operator.py
+++ b/flintreach/operator.py
@@ -6,6 +6,7 @@
 
 import importlib
 import importlib.util
+import ipaddress
 import math
 import os
 import pkgutil
@@ -109,6 +110,18 @@
     return told(default, read, "texts by names, { name = \"text\" }")
 
 
+def place(default: str = ""):
+    """An address by number and port: names are not looked up."""
+    def read(value: object) -> str:
+        if type(value) is not str:
+            raise ValueError
+        host, _, port = value.rpartition(":")
+        ipaddress.ip_address(host.strip("[]"))
+        within(int(port), 0, 65535)
+        return value
+    return told(default, read, 'an address by number, such as "127.0.0.1:2003"')
+
+
 def one_of(default: str, *words: str):
     return text(default, "|".join(map(re.escape, words)), "one of " + ", ".join(words))
 
--- a/flintreach/telemetry/block.py
+++ b/flintreach/telemetry/block.py
@@ -2,16 +2,14 @@
 
 from dataclasses import dataclass
 
-from flintreach.operator import duration, one_of, size, table, text
-
-ADDRESS = r"[^\s:]+:\d{1,5}|\[[0-9a-fA-F:]+\]:\d{1,5}"
+from flintreach.operator import duration, one_of, place, size, table, text
 
 
 @dataclass(frozen=True, slots=True)
 class Block:
     """Addresses are numeric: names are not looked up."""
 
-    graphite: str = text("", ADDRESS, 'an address such as "127.0.0.1:2003"')
+    graphite: str = place()
     protocol: str = one_of("plaintext", "plaintext", "pickle")
     prefix: str = text("flintreach", r"[A-Za-z0-9_.-]*", "letters, digits, _ . -")
     tags: dict = table({})
--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -133,8 +133,9 @@
                                   getattr(value, "number", getattr(value, "name", value)) for value in values]
 
 
-def test_sums_through_many_workers_lead_to_the_orders_of_one_process():
-    """A stream with jams, deaths, storms and cold starts, line by line and through three folds."""
+@pytest.mark.parametrize("workers, turned", [(1, False), (2, True), (3, False), (5, True)])
+def test_sums_through_many_workers_lead_to_the_orders_of_one_process(workers, turned):
+    """A stream with jams, deaths and a cold start, line by line and through folds, rows in either order."""
     def play(workers):
         rnd, fleet = random.Random(3), Fleet(servers=8, slices=24, demand=30, load_fields=("util",))
         folds = [Fold(lambda event: logic.kind(event, SECOND), 1000) for _ in range(workers)]
@@ -157,12 +158,12 @@
             if workers:
                 for place, line in enumerate(lines):
                     folds[place % workers].add(line)
-                lines = [row for fold in folds for row in fold.take(1000)]
+                lines = [row for fold in folds for row in fold.take(1000)][::-1 if turned else 1]
             fleet.say(*lines)
             fleet.run(1, sums=False)
         return fleet
 
-    one, three = play(0), play(3)
+    one, three = play(0), play(workers)
     assert sum(line.startswith("server") for line in one.log) >= 3 and one.log == three.log
     assert [list(map(plain, orders)) for _, orders in one.replies] == [
         list(map(plain, orders)) for _, orders in three.replies]
@@ -553,6 +554,19 @@
     assert len(peers) == 4
 
 
+def test_decisions_that_fail_end_all_processes_with_status_1(shop):
+    def fail(now, events):
+        raise RuntimeError("planted")
+
+    processes = [hand.process.pid for hand in shop.service.clients.all()]
+    shop.service.pilot.handle = fail
+    shop.service.event(face.Woke(0))
+    shop.loop.run_forever()  # until it stops itself
+    assert shop.service.status == 1 and "the decisions failed" in shop.log.lines
+    shop.service.clients.end()
+    assert all(map(gone, processes))
+
+
 def test_a_server_that_is_forgotten_and_named_again_is_another(shop):
     old = shop.service.registry.servers["s1"]
     peer = shop.dial(outcomes("s1", 1))
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -26,6 +26,13 @@
     ("cores {\n}\ncores {\n}\n", "cores: stands 2 times; expected once"),
     ("cores = 3\n", "cores: expected a block, cores { ... }"),
     ("cores {\n workers = \n}\n", "no HCL at line"),
+    ('telemetry {\n graphite = "graphite.example:2003"\n}\n', "graphite: expected an address by number"),
+    ('telemetry {\n tags = { a = 3 }\n}\n', "telemetry: tags: expected texts by names"),
+    ('telemetry {\n tags = { a = "b;c" }\n}\n', "telemetry: tags: a: expected a text without blanks"),
+    ('telemetry {\n every = "1500ms"\n}\n', "telemetry: every: expected whole seconds"),
+    ('evidence {\n accept = "any"\n}\n', "evidence: listen: expected an address here or in lines"),
+    ('evidence {\n listen = "127.0.0.1:1"\n}\n', "evidence: keys: expected a file"),
+    ('evidence {\n listen = "127.0.0.1:1"\n accept = "no"\n}\n', "accept: expected one of signed, any"),
     ("cores {\n", "no HCL at"),
     ("\udcff", "not a text in UTF-8"),
     (None, "No such file or directory"),
@@ -61,7 +68,8 @@
 
 
 @pytest.mark.parametrize("command, workers, status", [
-    ("serve", "2.5", 2), ("check-config", "2.5", 2), ("check-config", "2", 0)])
+    ("serve", "2.5", 2), ("check-config", "2.5", 2), ("check-config", "2", 0), ("check-config", "40", 2),
+    ("serve", "40", 2)])
 def test_the_command_line_reads_it_before_anything_starts(tmp_path, command, workers, status):
     path = tmp_path / "own.hcl"
     path.write_text(f"cores {{\n workers = {workers}\n}}\n")
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -4,6 +4,7 @@
 import math
 import re
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
@@ -12,8 +13,10 @@
 from flintreach.standins.program import Program
 from flintreach.standins.relay import Relay
 from flintreach.telemetry import names
+from flintreach.telemetry.block import Block
 from flintreach.telemetry.graphite import STATES, Graphite, Spool, pickled, plain
 from flintreach.telemetry.history import SLOTS, STEP, Disk, Ring
+from flintreach.telemetry.sender import Telemetry
 
 KEPT = Path(__file__).with_name("kept_names.txt")
 
@@ -166,6 +169,31 @@
     assert found["a"][-1][1] == 3.0 and found["b"][-1][1] == 4.0
 
 
+def test_a_full_disk_is_said_once_and_the_hour_in_memory_goes_on(tmp_path):
+    service = SimpleNamespace(
+        modes=[], taps=[], sources=[], config=SimpleNamespace(name="p"),
+        loop=SimpleNamespace(run_in_executor=lambda pool, do, *values: do(*values),
+                             call_soon_threadsafe=lambda do, *values: do(*values)),
+        clock=SimpleNamespace(after=lambda wait, do: None))
+    service.mode = lambda *told: service.modes.append(told)
+    times = iter(range(1_700_000_000 * 10**9, 10**20, 5 * 10**9))
+    made = Telemetry(service, Block(history=str(tmp_path)), lambda: next(times))
+    made.measures.snapshot = lambda: {"turns.count": 5.0}
+
+    def full(when, values):
+        raise OSError(28, "No space left on device")
+
+    write, made.disk.put = made.disk.put, full
+    for _ in range(4):
+        made.send()
+    assert {told[:2] for told in service.modes} == {("history", "not written")}
+    made.disk.put = write
+    made.send()
+    assert service.modes[-1][:2] == ("history", "written")
+    held = [value for _, value in made.rings["turns.count"].last(made.rings["turns.count"].newest * STEP, 5)]
+    assert held == [5.0] * 5 and not made.writing
+
+
 # The program with a receiver.
 
 
