--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -343,8 +343,8 @@
             self.step(tgt, "strained")
 
     def on_measured(self, event):  # it only adds to a report, and stands through silence, which frees nobody
-        if event.age < TURN:
-            self.target(event.server).host = event.busy
+        if event.age < TURN and event.server in self.targets:
+            self.targets[event.server].host = event.busy
 
     def on_probed(self, event):
         if event.status in ("connect_failed", "timeout", "reset"):
--- a/flintreach/telemetry/measures.py
+++ b/flintreach/telemetry/measures.py
@@ -52,7 +52,10 @@
             "reports.lines": service.clients.lines, "relay.waiting": len(service.calls.waiting),
             "relay.flight": len(service.calls.flight), "relay.doubt": int(service.calls.state == "doubt"),
             "channel.lines": sum(lines for row in pilot.joined.values() for _, lines, _ in row),
-            "news.proxies": len(service.news.joined), "news.slices": len(service.news.tables),
+            "probes.open": len(service.servers.open), "discovery.known": int(service.roster.known),
+            "discovery.failures": service.roster.failures, "relay.failures": service.calls.failures,
+            "news.failures": service.news.failures, "news.proxies": len(service.news.joined),
+            "news.slices": len(service.news.tables),
             "level.fleet": pilot.level, "warnings.count": sum(service.counts.values()),
             "process.cpu": time.process_time(), "process.memory": round(resident, 2),
             **{f"servers.{mode}": modes[mode] for mode in
--- /dev/null
+++ b/tests/test_recorded.py
@@ -0,0 +1,49 @@
+"""Recorded streams: with a second's work in one turn, orders are those of 0.2.0 (23eacea), byte for byte.
+
+The digests were taken from that text's decisions over the same worlds.
+"""
+
+import pytest
+
+from flintreach import interface as face
+from flintreach import logic
+from flintreach.interface import SECOND
+from flintreach.standins.worlds import World
+
+RECORDED = [
+    ((1, 5, 3, 20), 40, "2f23d8c5ff75cfe3"), ((2, 12, 4, 60), 60, "e1b8f590d4d69ec2"),
+    ((3, 30, 10, 200), 40, "e9bae2339261317a"), ((4, 60, 10, 400), 20, "0a2144e24464bc6d"),
+    ((5, 3, 2, 8), 60, "7e1360b879cfb362"), ((7, 120, 5, 900), 12, "551fec63ee416f6d"),
+]
+
+
+@pytest.fixture(autouse=True)
+def one_turn(monkeypatch):
+    monkeypatch.setattr(logic, "EFFORT", 10**18)
+
+
+@pytest.mark.parametrize("size, seconds, digest", RECORDED)
+def test_orders_are_those_of_the_text_before(size, seconds, digest):
+    assert World(logic.Pilot, *size).play(seconds) == digest
+
+
+@pytest.mark.parametrize("busy, age", [(0.0, 0), (1.0, 300 * SECOND), (0.5, 3 * SECOND)])
+def test_hosts_that_seem_idle_or_figures_of_then_change_no_order(busy, age):
+    """As in an outage of five minutes, and in the burst that ends it."""
+    size, seconds, digest = RECORDED[1]
+    world = World(logic.Pilot, *size)
+    handle = world.pilot.handle
+
+    def told(now, events):
+        return handle(now, [face.Measured(server, busy, age) for server in world.servers] + events)
+
+    world.pilot.handle = told
+    assert world.play(seconds) == digest
+
+
+def test_a_busy_host_changes_orders():
+    size, seconds, digest = RECORDED[1]
+    world = World(logic.Pilot, *size)
+    handle = world.pilot.handle
+    world.pilot.handle = lambda now, events: handle(now, [*events, face.Measured(world.servers[0], 1.0, 0)])
+    assert world.play(seconds) != digest
