--- a/flintreach/evidence/intake.py
+++ b/flintreach/evidence/intake.py
@@ -117,8 +117,11 @@
         self.own: dict[str, float] = {}  # load of each server as our sums last told it
         self.by_server = {server: host for host, server in block.hosts.items()}
         self.told: dict[str, int] = {}
+        self.states: dict[str, str] = {}  # as last said
         self.ends = []
         service.taps.append(self.tap)
+        service.tagged.append(lambda: [
+            (name, {"host": host}, value) for name, host, value in self.ledger.figures(service.clock.now())])
         service.sources.append(lambda: {
             "evidence.hosts": len(self.ledger.hosts),
             "evidence.fresh": sum(host.state == "fresh" for host in self.ledger.hosts.values())})
@@ -184,6 +187,9 @@
 
     def value(self, value: Value, now: int, sender: str) -> None:
         told = self.ledger.take(value, now, sender)
+        host = self.ledger.hosts.get(value.host)
+        if host and host.state != self.states.get(value.host, "unknown"):
+            self.state(value.host, host.state)
         if told is None:
             return
         name = self.ledger.servers[told.host]
@@ -191,7 +197,7 @@
         if server is None:  # a host's figure must not bring its server to the roster
             return self.count("a server that no list names")
         self.state(told.host, self.ledger.compare(told.host, self.own.get(name)))
-        if self.ledger.hosts[told.host].state == "fresh":
+        if host.state == "fresh":
             self.service.event(face.Measured(server, told.busy, told.age))
 
     # What the service sees, and the passing of time.
@@ -211,6 +217,7 @@
 
     def state(self, host: str, state: str | None) -> None:
         if state:
+            self.states[host] = state
             self.service.mode(f"evidence of {host}", state)
 
     def look(self) -> None:
--- a/flintreach/evidence/ledger.py
+++ b/flintreach/evidence/ledger.py
@@ -35,6 +35,15 @@
 AGREES = 0.2
 
 
+# Series that are shown, by plugin, type and type instance (None: any); they decide nothing.
+SHOWN = {
+    ("load", "load", ""): "evidence.load",
+    ("memory", "memory", "used"): "evidence.memory",
+    ("interface", "if_octets", None): "evidence.octets",
+    ("tcpconns", "tcp_connections", "ESTABLISHED"): "evidence.connections",
+}
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """What one pilot may hold of others' figures."""
@@ -182,7 +191,9 @@
                 self.count("too many series of a host")
                 return None
             series = host.series[key] = Series()
-        if not series.take(time, value.kinds[0], value.figures[0]):
+        # Of several gauges the first (load of a minute); of several counters all (received and sent).
+        raw = value.figures[0] if value.kinds[0] == GAUGE else float(sum(value.figures))
+        if not series.take(time, value.kinds[0], raw):
             self.count("repeated, old or no figure")
             return None
         if value.plugin != "cpu":
@@ -236,11 +247,10 @@
         changed = []
         for host in self.hosts.values():
             before, quiet = host.state, now - host.came
+            if quiet > LATE * host.interval:
+                self.step(host, "late")
             if quiet > SILENT * host.interval:
                 self.step(host, "silent")
-                self.step(host, "late")
-            elif quiet > LATE * host.interval:
-                self.step(host, "late")
             if host.state != before:
                 changed.append((host.name, host.state))
         return changed
@@ -260,6 +270,23 @@
             self.step(host, "agrees")
         return host.state if host.state != before else None
 
+    def figures(self, now: int) -> list[tuple[str, str, float]]:
+        """Rows of (name, host, value) of hosts that are heard of now; what is not known has no row."""
+        found = []
+        for host in self.hosts.values():
+            if host.state not in ("fresh", "ageing"):
+                continue
+            if host.busy is not None:
+                found.append(("evidence.busy", host.name, host.busy))
+                found.append(("evidence.age", host.name, max(0, now - host.newest) / SECOND))
+            sums: dict[str, float] = {}
+            for (plugin, _, kind, what), series in host.series.items():
+                name = SHOWN.get((plugin, kind, what)) or SHOWN.get((plugin, kind, None))
+                if name and series.rate is not None and now - series.time < SILENT * host.interval:
+                    sums[name] = sums.get(name, 0.0) + series.rate
+            found += [(name, host.name, value) for name, value in sums.items()]
+        return found
+
     def restarted(self, name: str) -> None:
         """Its server began anew: what was heard is of before."""
         host = self.hosts.get(name)
--- a/flintreach/net/service.py
+++ b/flintreach/net/service.py
@@ -40,6 +40,7 @@
         self.longest = self.turns = self.deepest = 0
         self.frozen = False
         self.sources: list = []  # of figures that parts have: functions that give names and values
+        self.tagged: list = []  # the same of objects: functions that give rows of name, tags and value
         self.taps: list = []  # they see each turn: its time, events, orders, and how long it took
         loop.set_exception_handler(self.fault)
 
--- a/flintreach/telemetry/sender.py
+++ b/flintreach/telemetry/sender.py
@@ -37,6 +37,9 @@
         values = self.measures.snapshot()
         if self.graphite:
             rows = [(path(self.block.prefix, name, self.tags), when, value) for name, value in values.items()]
+            for source in self.service.tagged:
+                rows += [(path(self.block.prefix, name, self.tags | tags), when, value)
+                         for name, tags, value in source()]
             self.graphite.put(ENCODERS[self.block.protocol](rows))
         for name, value in values.items():
             self.rings.setdefault(name, Ring()).put(when, value)
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -294,6 +294,29 @@
     assert all(what != "silent" or then == "unknown" for (_, what), (then, _) in STATES.items())
 
 
+def test_other_plugins_are_shown_and_decide_nothing():
+    play = Play()
+    play.rounds(T, SETTLED + 1)
+    seen, now = len(play.told), T + SETTLED * STEP
+    for n in range(2):
+        came = now + n * STEP
+        play.point(came)
+        for found in read(b"".join((
+                collectd.series("h1", came, "load", "load", (1, 1.5), (1, 0.5), (1, 0.1)),
+                collectd.series("h1", came, "memory", "memory", (1, 4e9), instance="used"),
+                collectd.series("h1", came, "interface", "if_octets", (2, 5000 * n), (2, 1000 * n)),
+                collectd.series("h1", came, "tcpconns", "tcp_connections", (1, 7.0),
+                                instance="ESTABLISHED")))):
+            assert play.ledger.take(found, came, "h1") is None
+    assert len(play.told) == seen + 1
+    shown = {name: value for name, host, value in play.ledger.figures(now + STEP) if host == "h1"}
+    assert shown == {"evidence.busy": 0.75, "evidence.age": 0.0, "evidence.load": 1.5, "evidence.memory": 4e9,
+                     "evidence.octets": pytest.approx(600, rel=1e-6), "evidence.connections": 7.0}
+    assert play.ledger.figures(now + 600 * SECOND)  # until the passing of time has been looked at
+    play.ledger.look(now + 600 * SECOND)
+    assert play.ledger.figures(now + 600 * SECOND) == []
+
+
 # What the decisions make of it.
 
 
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -171,7 +171,7 @@
 
 def test_a_full_disk_is_said_once_and_the_hour_in_memory_goes_on(tmp_path):
     service = SimpleNamespace(
-        modes=[], taps=[], sources=[], config=SimpleNamespace(name="p"),
+        modes=[], taps=[], sources=[], tagged=[], config=SimpleNamespace(name="p"),
         loop=SimpleNamespace(run_in_executor=lambda pool, do, *values: do(*values),
                              call_soon_threadsafe=lambda do, *values: do(*values)),
         clock=SimpleNamespace(after=lambda wait, do: None))
