--- a/benchmarks/cores.py
+++ b/benchmarks/cores.py
@@ -33,10 +33,14 @@
 # Processes of a pilot by the cores that it is given; one decides.
 PLANS = {2: "workers = 1\n search = false", 3: "workers = 1", 4: "workers = 2", 6: "workers = 4",
          8: "workers = 6"}
-SAMPLED = 130  # servers whose probes are listened to: a hundred questions a second
+SAMPLED = 130  # servers whose probes are listened to, of many: a hundred questions a second
 TICK = os.sysconf("SC_CLK_TCK")
 
 
+def sampled(servers: int) -> int:
+    return min(SAMPLED, servers // 2)
+
+
 def world(servers: int, proxies: int, slices: int, ports: list[int]) -> dict:
     """A configuration as the platform writes it; the last servers are those that are probed."""
     config = told(servers, slices, proxies)
@@ -50,7 +54,7 @@
 
 def generate(at, cores, connections, rate, seconds, world, seed, answer):
     os.sched_setaffinity(0, cores)
-    pool = lines(world[0] - SAMPLED, world[1], 40_000, seed)
+    pool = lines(world[0] - sampled(world[0]), world[1], 40_000, seed)
     answer.send("ready")
     answer.recv()
     answer.send(uvloop.run(load(at, connections, rate, seconds, pool)))
@@ -89,7 +93,7 @@
         mine, theirs = context.Pipe()
         ends.append(mine)
         found.append(context.Process(target=sample, args=(
-            at, load_cores, size[0] - SAMPLED, sampler, seconds, theirs)))
+            at, load_cores, size[0] - sampled(size[0]), sampler, seconds, theirs)))
     for process in found:
         process.start()
     for end in ends:
@@ -105,7 +109,7 @@
     the pilot itself has read; what waits in buffers does not count."""
     mine = CORES[:cores]
     others = CORES[cores:] or CORES
-    sampler = Sampler(SAMPLED)
+    sampler = Sampler(sampled(size[0]))
     config = world(*size, sampler.ports)
     servers, proxies, slices = size
     relay = Relay(slices, proxies, lambda n: f"s{n % servers}")
