Full collections are rare from a thousand slices on, with one core too

Need: at 1,000 servers and full load on one core a turn took up to 121 ms, from full collections over the buckets of sums. Below a thousand slices nothing changes.

--- a/flintreach/net/limits.py
+++ b/flintreach/net/limits.py
@@ -22,6 +22,7 @@
     slow_turn: int = 250 * MS  # of the loop, from which it is worth a log line
     events: int = 20_000  # gathered in one turn; then clients are not read until it is over
     turn: int = 1500  # of them handed over in one turn; the rest waits for the next
+    many: int = 1000  # slices, from which full collections are made rare
     portion: int = 500  # lines of one client that are read in a turn of the loop
     tries: int = 1_000_000  # the most that one report may count
     span: int = 600 * SECOND  # and its longest time
--- a/flintreach/net/service.py
+++ b/flintreach/net/service.py
@@ -174,6 +174,8 @@
         and finds nothing.  Once, lest what is cast off with each new connection stays for ever."""
         if not self.frozen:
             self.frozen = True
+            if len(self.news.tables) >= self.limits.many:  # buckets of sums are made anew all the time
+                gc.set_threshold(5000, 20, 100)
             self.clock.after(face.SECOND, gc.freeze)
 
     def reload(self) -> None:
