A second's work rests half as long as its turn took: a call needs several passes of the loop

Need: at 1,000 servers on one core the 99th percentile of a line to its probe moved between 36 and 160 ms, though no turn was longer than 47: dialling takes several passes of the loop, each behind a turn of the search.

--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -275,7 +275,7 @@
             if self.owed is None:
                 self.work, self.owed, self.stir = None, 0, True
                 return
-        self.go_at = self.now + self.settings.tick
+        self.go_at = self.now + EFFORT * 500  # half as long: a call takes several passes of its host's loop
         self.orders.append(face.Wake(self.go_at))
 
     def target(self, server):
