--- a/benchmarks/telemetry.py
+++ b/benchmarks/telemetry.py
@@ -53,7 +53,7 @@
     began = time.perf_counter()
     for n, datagram in enumerate(data):
         came = T + n // 100 * 10 * SECOND
-        content, user = packet.hold(datagram, False, keys, True)
+        content, user = packet.hold(datagram, keys, True)
         for value in packet.values(content):
             ledger.take(value, came, user)
     return number / (time.perf_counter() - began)
--- a/flintreach/evidence/intake.py
+++ b/flintreach/evidence/intake.py
@@ -156,7 +156,7 @@
         if not self.pace.admits(source, now):
             return self.count("datagrams beyond the pace of a source")
         try:
-            content, user = packet.hold(data, False, self.keys, self.block.accept == "any")
+            content, user = packet.hold(data, self.keys, self.block.accept == "any")
             if user is not None and self.played_again(data):
                 raise Bad("played again")
             for value in packet.values(content):
--- a/flintreach/evidence/packet.py
+++ b/flintreach/evidence/packet.py
@@ -59,7 +59,7 @@
         yield kind, data[at - length + HEAD.size:at], at
 
 
-def hold(data: bytes, vouched: bool, keys: dict[str, str], open_to_all: bool) -> tuple[bytes, str | None]:
+def hold(data: bytes, keys: dict[str, str], open_to_all: bool) -> tuple[bytes, str | None]:
     """The datagram's open content and the user who vouches for it.  Raises Bad."""
     if not data:
         raise Bad("empty")
@@ -76,7 +76,7 @@
         return data[end:], user
     if kind == ENCRYPTED:
         return decrypted(content, keys)
-    if not open_to_all and not vouched:
+    if not open_to_all:
         raise Bad("unsigned")
     return data, None
 
@@ -162,7 +162,7 @@
             yield Value(**names, time=time, interval=interval, kinds=kinds, figures=found)
 
 
-def line(content: str, hosts_escaped: str = "_") -> tuple[str, list[str], float, int]:
+def line(content: str) -> tuple[str, list[str], float, int]:
     """A line as collectd's write_graphite sends it: prefix-free path, figure, time.
 
     >>> line("web-1.cpu-0.cpu-idle 98.5 1700000000")
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -90,28 +90,28 @@
 def test_who_vouches_is_known_and_any_flipped_byte_is_found(wrap):
     content = collectd.cpu("h1", T, 25.0)
     data = wrap(content, "anna", "secret")
-    assert packet.hold(data, False, KEYS, False) == (content, "anna")
+    assert packet.hold(data, KEYS, False) == (content, "anna")
     for user, key, why in (("anna", "wrong", "match|decrypt"), ("eve", "secret", "unknown user")):
         with pytest.raises(Bad, match=why):
-            packet.hold(wrap(content, user, key), False, KEYS, False)
+            packet.hold(wrap(content, user, key), KEYS, False)
     for place in range(len(data)):
         spoilt = bytearray(data)
         spoilt[place] ^= 0x20
         try:
-            found, user = packet.hold(bytes(spoilt), False, KEYS, False)
+            found, user = packet.hold(bytes(spoilt), KEYS, False)
         except Bad:
             continue
         raise AssertionError(f"byte {place} may be flipped: {found!r} {user}")
     for cut in range(len(data)):
         with pytest.raises(Bad):
-            packet.hold(data[:cut], False, KEYS, False)
+            packet.hold(data[:cut], KEYS, False)
 
 
 def test_unsigned_is_taken_only_where_the_operator_says_so():
     content = collectd.cpu("h1", T, 25.0)
     with pytest.raises(Bad, match="unsigned"):
-        packet.hold(content, False, KEYS, False)
-    assert packet.hold(content, False, KEYS, True) == (content, None)
+        packet.hold(content, KEYS, False)
+    assert packet.hold(content, KEYS, True) == (content, None)
 
 
 @pytest.mark.parametrize("text", ["", "a", "a.b 1", "a.b.c x 1", "a.b.c 1 x", "a.b.c inf 1", "a.b.c 1 -5",
