--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -144,7 +144,7 @@
 
 @pytest.mark.parametrize("span, falls", [(1, 4), (6, 2)])
 def test_a_quota_falls_again_once_sums_of_after_the_first_fall_have_come(span, falls):
-    """With hundreds of servers a line covers seconds: levels fell to nothing before one told of the first fall."""
+    """With hundreds of servers a line covers seconds: levels fell to nothing before one told of the first."""
     fleet = Fleet(servers=4, slices=24)
     fleet.pilot.span = span * SECOND
     tgt, told, now = fleet.pilot.target(fleet.servers[1]), [], 200
--- a/tests/test_recorded.py
+++ b/tests/test_recorded.py
@@ -1,4 +1,4 @@
-"""Recorded streams: with a second's work in one turn, what should change no order changes none, byte for byte.
+"""Recorded streams: what should change no order changes none, byte for byte, a second's work being one turn.
 
 The digests are of the decisions as they stand; who changes these takes them anew and says in the commit why.
 """
