Pilots permit a gap together, and what a server could answer is read from its load

A cold server's room was measured by the most answers seen, which a half idle fleet gives at half of what it could, so a slice looked twice as large there (judge, proven). Change: the permitted deviation is 30 or 70 times the pilot's share, whichever is less, its step half and its slack a third of that; the answers proven are divided by the mean load that warm servers report, 0.3 at the least.

--- a/flintreach/logic.py
+++ b/flintreach/logic.py
@@ -18,8 +18,8 @@
 SMOOTHING, RECENT, LAST = 10, 3, 2  # seconds: of demand that a slice's figure covers; of a jump; of a death
 TURN = 3 * SECOND  # sums of a large fleet come by turns: silence for so long is no lack of demand
 BETA, LOW_RUNS = 0.7, 3  # of a server's mean demand, for one copy more; runs of too many before one goes
-DEV, STEP, BAND = 30.0, 15.0, 10.0  # permitted deviation, its steps, and what beyond it calls for no run
-MEMORY, FILL = 0.25, 0.25  # of memory against demand; of a cold server's quota, what may come above it
+DEV, DEV_ALL, STEP, BAND = 30.0, 70.0, 1 / 2, 1 / 3  # permitted: one pilot, all; its step, its slack
+MEMORY = FILL = 0.25  # of memory against demand; of a cold server's quota, what may come above it
 SOLUTIONS, ATTEMPTS, NEAR = 20, 20, 3  # candidates a run; moves each, at least; servers paired at each end
 ENOUGH, FADE = 6, 0.9  # tries without which nobody is judged; how what is known fades in a second of silence
 DEAD, OUT_MOST = 0.7, 0.25  # part unanswered of a failing server; of the servers, how many may be taken out
@@ -27,12 +27,12 @@
 HARD_SHARE, HARD_LATE = 0.3, 0.4  # parts unanswered, and of the latency objective, that strain a server
 STORM, SUSPECT = 0.2, 0.3  # parts of a line unanswered: repeats; and, two at least, a server that may be dead
 SLACK, EXTRA_MOST = 0.4, 1.0  # room of all servers from which such loads count in full; the most of a quota
-COLD_LATE = 0.5  # of the latency objective in one line, two answers, that empty a cold server
+COLD_LATE, USED_LEAST = 0.5, 0.3  # part of the objective that empties a cold server; load to judge by
 CROWDED, WORSE = 0.6, 1.5  # strain, as such and by the best quarter's, from which a server is crowded
 BEARS_DOWN, BEARS_UP, BEARS_LEAST = 0.8, 0.05, 0.5  # how a crowded server's quota falls and comes back
 LEVEL_DOWN, LEVEL_UP, LEVEL_LEAST = 0.4, 0.2, 0.05  # how levels fall at the most, and come back
 QUIET = {"queue": 1, "util": 0.8}  # reports below which late answers are not a server's own load
-HOLD, LOST = 2 * SECOND, 10 * SECOND  # least time between falls; of a mark, that a lost answer holds up
+HOLD, LOST = 2 * SECOND, 10 * SECOND  # of a relieved cold server; of a mark, that a lost answer holds up
 EFFORT, A_STEP = 6000, 150  # of a second's work in a turn, of a move or swap: about microseconds of a core
 ROOM = 0.5, 0.55, 0.62  # parts of the channel's limit to fill: with what can wait, bad health, and drains
 
@@ -168,8 +168,8 @@
 
 
 class Search:  # for a map near the old one: it knows places alone, so it can run beside the decisions
-    def __init__(self, seed, counter, start, changed, elsewhere=False):
-        self.seed, self.counter, self.start, self.changed = seed, counter, start, changed
+    def __init__(self, seed, counter, start, changed, dev, elsewhere=False):
+        self.seed, self.counter, self.start, self.changed, self.dev = seed, counter, start, changed, dev
         self.elsewhere = elsewhere  # its steps are taken beside the decisions; without an answer, here
         self.best, self.widest = None, start.orders[3][-1][0]
 
@@ -182,7 +182,7 @@
 
     def steps(self):
         """A candidate that fits a smaller deviation wins, then one with fewer changed placements."""
-        size = len(self.start.old)
+        size, dev, step = len(self.start.old), self.dev, self.dev * STEP
         while self.elsewhere:
             yield EFFORT
         for i in range(0 if self.best else SOLUTIONS):
@@ -192,17 +192,16 @@
                 yield 150
                 self.recount(part, p, has, copies)
             for _ in range(max(ATTEMPTS, size) + 1):
-                key = max(DEV, STEP * math.ceil(part.orders[3][-1][0] / STEP)), part.distance
+                key = max(dev, step * math.ceil(part.orders[3][-1][0] / step)), part.distance
                 if self.best is None or key < self.best[0]:
                     self.best, part.shared = (key, part.holds[:]), {*range(size)}
-                if key[0] <= DEV or not self.improve(part, 10 * i < SOLUTIONS):
+                if key[0] <= dev or not self.improve(part, 10 * i < SOLUTIONS):
                     break
                 yield A_STEP + part.tried // 4  # as the last one told
                 part.tried = 0
 
     def recount(self, part, p, has, copies):
-        """Copies go where there is least room, and come where there is most: all that are free draw, but who
-        can't be among the first is not asked."""
+        """Copies go where room is least, come where it is most; who can't win by the best draw has none."""
         load, few = part.demand, copies - len(has)
         for x in sorted(has, key=load.__getitem__)[copies:]:
             part.put(p, x, -1)
@@ -462,12 +461,14 @@
             yield from self.run(full)
 
     def judge(self):  # against peers of the same time
-        shares, dead, answered = {}, {}, 0
+        shares, dead, answered, loads = {}, {}, 0, []
         for tgt in [*self.targets.values()]:
             yield 15
             (tries, unanswered, latency), last = (tgt.heard.total(tgt.heard_at, t) for t in (RECENT, LAST))
             fresh, good = self.now - tgt.heard_at < TURN, tries - unanswered
             answered += good * fresh
+            told = fresh and tgt.mode == "fit" and tgt.full is not None
+            loads += [(tgt.full * tgt.weight, tgt.weight)] if told else []
             known = fresh and good > 1
             tgt.late = latency / good / HARD_LATE / self.ops[0].objective if known else tgt.late * FADE
             if tries >= ENOUGH and tgt.mode not in CLOSED and fresh:
@@ -476,7 +477,8 @@
                 if last[0] >= ENOUGH and last[1] >= DEAD * last[0] and tgt.late < 1:
                     dead[tgt] = f"{last[1] / last[0]:.2f} unanswered"
         part = sum(self.quotas().values()) * len(self.ours()) / len(self.units)
-        self.proven = max(self.proven, answered / RECENT / max(part, 1))
+        used = sum(load for load, _ in loads) / (sum(weight for _, weight in loads) or 1) or 1  # at that load
+        self.proven = max(self.proven, answered / RECENT / max(part, 1) / min(1, max(USED_LEAST, used)))
         strains = {tgt: max(share / HARD_SHARE, tgt.late) for tgt, share in shares.items()}
         usual = sorted([*strains.values(), 0.0])[(len(strains) + 1) // 4]
         self.condemn(dead)
@@ -516,8 +518,7 @@
     def relent(self, tgt, strain, usual):
         """A server worse off than its peers bears less; where it is late, less of the cheapest is let in."""
         if strain > max(CROWDED, WORSE * usual) and self.now >= tgt.hold:
-            tgt.hold = self.now + max(HOLD, SECOND + self.span)  # a line tells of a span, a second late
-            tgt.bears = max(BEARS_LEAST, tgt.bears * BEARS_DOWN)
+            tgt.bears, tgt.hold = max(BEARS_LEAST, tgt.bears * BEARS_DOWN), self.now + SECOND + self.span
             if tgt.late > 1 and not tgt.idle:
                 tgt.level = max(LEVEL_LEAST, tgt.level * max(LEVEL_DOWN, 1 / tgt.late))
         if strain < CROWDED / 2 or tgt.idle and tgt.full is not None and tgt.part < HARD_SHARE / 2:
@@ -549,11 +550,11 @@
         room = [len(held) * memory - MEMORY * self.fills(t, share) * quota[t] for held, t in zip(old, tgts)]
         changed = [(p, sorted(place[tgt] for tgt in unit.want if tgt in place), unit.copies)
                    for p, unit in enumerate(units) if len(unit.want) != unit.copies]
-        states = [(tgt.mode, tgt.gained) for tgt in tgts]
-        self.dev, gained = max(DEV, self.dev - STEP), [gained for _, gained in states]
+        states, least = [(tgt.mode, tgt.gained) for tgt in tgts], min(DEV, DEV_ALL * share)  # they add up
+        self.dev, gained = max(least, self.dev - least * STEP), [gained for _, gained in states]
         start = Partition(old, room, [*gap.values()], amounts + [(0.0, 0.0)], memory, tender, gained, empty)
-        search = Search(self.settings.seed, self.counter, start, changed, self.settings.elsewhere)
-        if search.widest <= self.dev + BAND and not changed:
+        search = Search(self.settings.seed, self.counter, start, changed, least, self.settings.elsewhere)
+        if search.widest <= self.dev + least * BAND and not changed:
             return
         self.orders += [face.Solve(search)] * search.elsewhere
         yield from search.steps()
@@ -605,8 +606,7 @@
         back = [tgt for tgt in self.shut
                 if (changed and tgt not in named if tgt.mode in CLOSED else tgt not in stale)]
         self.shut = {tgt: None for tgt in [*self.shut, *shut] if tgt not in back}
-        lines = [face.Withdraw(tgt.server, tgt in shut) for tgt in shut + back]
-        level = self.let_in([self.fleet])
+        lines, level = [face.Withdraw(t.server, t in shut) for t in shut + back], self.let_in([self.fleet])
         if level != self.level:  # one line a proxy, where each slice's would fill the channel
             self.level = level
             lines.append(face.Admit(None, (self.ops[0],), level, 1))
--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -594,7 +594,7 @@
     start = logic.Partition([set() for _ in range(12)], [0.0] * 12, [0.0] * 12, [(1.0, 1.0)] * 61, 1.0, {},
                             [False] * 12)
     front, searches = shop.service.clients, [
-        logic.Search(seed, 0, start, [(n, [], 1) for n in range(60)], True) for seed in range(3)]
+        logic.Search(seed, 0, start, [(n, [], 1) for n in range(60)], 30.0, True) for seed in range(3)]
 
     def solved(search):
         found = [event for event in shop.recorder.seen if isinstance(event, face.Solved)]
@@ -604,7 +604,7 @@
     front.solve(searches[0])
     shop.until(lambda: solved(searches[0]))
     (event,) = solved(searches[0])
-    here = logic.Search(0, 0, start, [(n, [], 1) for n in range(60)])
+    here = logic.Search(0, 0, start, [(n, [], 1) for n in range(60)], 30.0)
     for _ in here.steps():
         pass
     assert event.best == here.best and event.counter == here.counter
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -142,6 +142,33 @@
     assert any(part.swaps(x, y) for _, x, y in part.pairs())
 
 
+@pytest.mark.parametrize("others, most, mended", [(4, 4.5, True), (0, 2.5, False)])
+def test_several_pilots_permit_smaller_gaps_each(others, most, mended):
+    """The gap is a quarter of a mean server both times.  Each pilot permitted what one alone may leave, and
+    what five left added up to servers that jammed."""
+    servers, each = 10, 12 * (1 + others)  # slices
+    fleet = Fleet(servers=servers, slices=servers * each, pilots=1 + others, demand=2)
+    keep = fleet.slices[:12 * servers]
+    fleet.say(*[face.Given(piece, False) for piece in fleet.slices[len(keep):]])
+    fleet.tables = {piece: {fleet.servers[n % servers]: 1.0} for n, piece in enumerate(keep)}
+    fleet.rates = {piece: most if n % servers == 3 else 2.0 for n, piece in enumerate(keep)}
+    fleet.run(14)
+    assert (len(fleet.holds(fleet.servers[3])) < 12) == mended
+
+
+@pytest.mark.parametrize("load, part", [({}, 1.0), ({"util": 0.5}, 0.5), ({"util": 0.01}, 0.3),
+                                        ({"util": 2.0}, 1.0)])
+def test_what_a_server_could_answer_is_read_from_its_load(load, part):
+    """Measured by what a half idle fleet answered, each slice looked too large for any cold server."""
+    proven = []
+    for told in ({}, load):
+        fleet = Fleet(servers=5, slices=20)
+        fleet.load = told
+        fleet.run(6)
+        proven.append(fleet.pilot.proven)
+    assert abs(proven[0] / proven[1] - part) < 0.02
+
+
 @pytest.mark.parametrize("span, falls", [(1, 4), (6, 2)])
 def test_a_quota_falls_again_once_sums_of_after_the_first_fall_have_come(span, falls):
     """With hundreds of servers a line covers seconds: levels fell to nothing before one told of the first."""
