--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -185,7 +185,7 @@
 
 @pytest.mark.parametrize("late, level", [(0.9, 1.0), (1.25, 0.8), (5.0, 0.7)])
 def test_one_fall_of_a_level_is_no_deeper_than_lateness_can_tell(late, level):
-    """A queue that is a tenth too long makes answers three times as late: falls to 0.4 let half too little in."""
+    """A queue a tenth too long makes answers three times as late: falls to 0.4 let half too little in."""
     fleet = Fleet(servers=4, slices=24)
     tgt = fleet.pilot.target(fleet.servers[1])
     tgt.late, fleet.pilot.now = late, 200 * SECOND
