A question that is not sent says nothing of its server; an eighth of the descriptors may ask

Cause: beyond 64 open questions a further one was told to the decisions as one that could not connect (Servers.probe), and with 200 servers in three zones a lost zone asks more than that at once: healthy servers would have counted as mute. Now it is counted, 'question not sent', and nothing is told; an eighth of the descriptors may be questions (250 of 2,000). Case: three asked where two may be; fails without the change.

--- a/flintreach/net/limits.py
+++ b/flintreach/net/limits.py
@@ -38,7 +38,7 @@
     watch: int = 2 * SECOND  # that discovery may hold a call
     watch_late: int = 500 * MS  # over that, the call is given up
     probe_wait: int = SECOND
-    probes: int = 64  # at once
+    probes: int = 64  # at once: many servers of a lost zone are asked together
     datagram: int = 256
     ready_wait: int = 2 * SECOND  # for discovery, before a sign of life is given without it
 
@@ -52,5 +52,5 @@
         """
         sockets, memory = int(told.get("sockets", 1024)), int(told.get("memory_mb", 192)) << 20
         part = min(64, sockets // 8)
-        return cls(collectors=min(256, sockets // 4), strangers=part, probes=part, held=memory // 4,
+        return cls(collectors=min(256, sockets // 4), strangers=part, probes=sockets // 8, held=memory // 4,
                    body=min(8 << 20, memory // 16))
--- a/flintreach/net/servers.py
+++ b/flintreach/net/servers.py
@@ -33,7 +33,8 @@
     def probe(self, server: face.Server) -> None:
         limits, clock = self.service.limits, self.service.clock
         if len(self.open) >= limits.probes or server not in self.addresses:
-            return self.service.event(face.Probed(server, "connect_failed", 0, {}))
+            self.service.count("question not sent")  # told as unanswered, it would condemn a healthy server
+            return
         began, fields = clock.now(), self.service.settings.load_fields
 
         def done(how: str, status: int, body: bytes) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -555,6 +555,16 @@
     assert (event.status, event.load) == (said, load)
 
 
+@pytest.mark.parametrize("known", [True, False])
+def test_a_question_that_is_not_sent_says_nothing_of_its_server(make, known):
+    """Told as one that could not connect, it condemned healthy servers when many were asked at once."""
+    service = make(limits={"sockets": 16})
+    servers = [service.registry.server(f"s{n}") for n in (range(3) if known else range(90, 93))]
+    service.carry([face.Probe(server) for server in servers])
+    assert len(Wire.made) == (2 if known else 0) and not service.gathered
+    assert service.counts == {"question not sent": 1 if known else 3}
+
+
 def test_datagrams_go_and_come_between_the_pilots_alone(make):
     class Sent(list):
         def sendto(self, data, to):
