Keys: a pure state machine that hands them out, divided by their heat; a dead holder's time is its last grant's

A grant is noted when its connection stands, and the clock is looked at there too. Requests are counted by bucket of 64 keys, go up with the sums, and part the keys; only an endpoint that tells it has little room is relieved.

120 nights of two keepers that sleep, lost and late answers, cut endpoints: no key with two holders; three planted faults are seen.

--- a/flintreach/bothy/carry.py
+++ b/flintreach/bothy/carry.py
@@ -10,6 +10,7 @@
 from flintreach.bothy.choice import KEY_WAIT, SECOND_SHARE, TABLE, Budget, choose, cold_pilots, patience
 from flintreach.bothy.endpoint import ANSWERED, BROKEN, NOT_RUN, UNSENT, Outcome, exchange
 from flintreach.bothy.world import World, slice_of
+from flintreach.bunks.plan import BUCKET, KEYS
 from flintreach.trail.tally import Tally
 
 MS, SECOND = 1_000_000, 1_000_000_000
@@ -107,8 +108,11 @@
         self.tally.request(slice_of(route, line))
         budget = self.budget(line)
         budget.request(now)
-        key = request.low.get("x-shard-key", "")
-        return self.tries(request, route, line, int(key) if key.isdigit() else None, until, budget)
+        told = request.low.get("x-shard-key", "")
+        key = int(told) if told.isascii() and told.isdigit() and int(told) < KEYS else None
+        if key is not None and self.world.sharded(line):
+            self.tally.key(line, key // BUCKET)
+        return self.tries(request, route, line, key, until, budget)
 
     def tries(self, request, route, line, key, until, budget) -> Answer:
         world, tried, sent, dials, status = self.world, set(), 0, 0, 503
--- a/flintreach/refuge/program.py
+++ b/flintreach/refuge/program.py
@@ -10,6 +10,7 @@
 import msgspec
 from gevent.event import Event
 
+from flintreach.bunks.warmth import Warmth
 from flintreach.cairn import circle
 from flintreach.cairn.register import Register
 from flintreach.cairn.store import Store, StoreError
@@ -58,7 +59,8 @@
             "beat": self.on_beat, "leave": self.on_leave, "stamps": self.on_stamps,
             "book": self.on_book, "circle": lambda link, body: self.group or None, "value": self.on_value,
             "show": lambda link, what: self.show(what),
-            "counts": lambda link, body: self.hear_tally(body)}
+            "counts": lambda link, body: self.hear_tally(body),
+            "warmth": lambda link, body: self.warmth.hear(body)}
         self.kept: set[str] = {*self.book.records}  # endpoints that may stand on this disk
         self.keepers: dict[str, Keeper] = {}
         self.routes: Routes | None = None
@@ -67,7 +69,7 @@
         self.majority_at, self.ttl = -86400.0, min(TTL, node.bounds.ttl_max_s)
         self.learned: dict[str, tuple] = {}  # key -> the stamp of what was last told as news
         self.lagging: dict[str, tuple] = {}  # key -> the oldest stamp of it that the last sweep saw
-        self.tally = Tally()
+        self.tally, self.warmth = Tally(), Warmth()
         self.ridge = Ridge(zlib.crc32(me.node_name.encode()))
         self.servers, self.stopping = [], Event()
 
@@ -396,7 +398,8 @@
 
     def keys(self) -> None:
         while True:
-            gevent.sleep(KEYS_S)
+            # Keys that were just released wait for nothing but their next holder.
+            gevent.sleep(KEYS_S / 8 if any(keeper.soon for keeper in self.keepers.values()) else KEYS_S)
             if self.routes is None or not self.register.votes():
                 continue
             for name, depot in self.routes.depots.items():
@@ -405,7 +408,8 @@
                         f"bunks/{name}", version, rows)
                     self.keepers[name] = Keeper(
                         self.node.sender.node_name, name, self.register, self.node.bounds.hold_cap_ms,
-                        lambda name=name: self.able(name), self.ended, tell)
+                        lambda name=name: self.able(name), self.ended, tell,
+                        lambda name=name: self.warmth.of(name))
             for name, keeper in self.keepers.items():
                 keeper.tick()
 
@@ -424,6 +428,9 @@
                 continue
             if routes is None:
                 continue
+            if told := self.warmth.take(body):
+                for address in self.peers():  # whoever keeps the keys of a service divides them by it
+                    gevent.spawn(self.bundle.ask, address, "warmth", told, 0.8)
             plain = [(f"{route.name} {line}", line, route.homes) for route in routes.all
                      for line, _ in route.services if not routes.depots[line].sharded]
             number = self.board.get("map", 0)
--- a/flintreach/trail/tally.py
+++ b/flintreach/trail/tally.py
@@ -2,15 +2,21 @@
 
 
 class Tally:
-    """`came`: slice -> requests; `load`: endpoint -> [sum of told loads over berths, their number]."""
+    """`came`: slice -> requests; `keys`: sharded service -> bucket of keys -> requests;
+    `load`: endpoint -> [sum of told loads over berths, their number]."""
 
     def __init__(self):
         self.came: dict[str, int] = {}
+        self.keys: dict[str, dict[int, int]] = {}
         self.load: dict[str, list[float]] = {}
 
     def request(self, slice: str) -> None:
         self.came[slice] = self.came.get(slice, 0) + 1
 
+    def key(self, line: str, bucket: int, count: int = 1) -> None:
+        held = self.keys.setdefault(line, {})
+        held[bucket] = held.get(bucket, 0) + count
+
     def told(self, id: str, full: float) -> None:
         held = self.load.setdefault(id, [0.0, 0])
         held[0] += full
@@ -19,6 +25,9 @@
     def add(self, body: dict) -> None:
         for slice, count in body["came"].items():
             self.came[slice] = self.came.get(slice, 0) + count
+        for line, buckets in body["keys"].items():
+            for bucket, count in buckets.items():
+                self.key(line, bucket, count)
         for id, (full, count) in body["load"].items():
             held = self.load.setdefault(id, [0.0, 0])
             held[0] += full
@@ -28,6 +37,7 @@
         """What has come since it was last taken; None if nothing has."""
         if not self.came and not self.load:
             return None
-        body = {"came": self.came, "load": {id: [round(full, 2), n] for id, (full, n) in self.load.items()}}
-        self.came, self.load = {}, {}
+        load = {id: [round(full, 2), count] for id, (full, count) in self.load.items()}
+        body = {"came": self.came, "keys": self.keys, "load": load}
+        self.came, self.keys, self.load = {}, {}, {}
         return body
--- /dev/null
+++ b/tests/test_system_keys.py
@@ -0,0 +1,217 @@
+"""The handing out of keys, against endpoints as the wire's page describes them, in simulated time.
+
+Two processes may keep the keys, either may sleep at any moment; calls and answers take their time or are
+lost; endpoints are cut off, and their clocks run slow.  At no moment do two endpoints hold one key.
+"""
+
+import random
+import unittest
+from unittest import mock
+
+from flintreach.bunks import keeping, plan
+from flintreach.bunks.keeping import GRANT, NET, Keeping
+from flintreach.bunks.plan import KEYS, Allocation, Heat
+from flintreach.bunks.warmth import Warmth
+
+EVEN = Heat()
+SAMPLES = [0, 1, 4000, 8191, 8192, 20000, 40000, 65535]
+
+
+class Endpoint:
+    def __init__(self, id):
+        self.id, self.up, self.cut_until, self.holds, self.seen = id, True, 0.0, {}, {}
+
+    def take(self, kind, body, now):
+        """(status, handover) by the page: a grant under a lower fence than one seen on any key is refused."""
+        low, high, fence, hold = body
+        keys = [key for key in SAMPLES if low <= key <= high]
+        if kind == GRANT:
+            if any(self.seen.get(key, 0) > fence for key in keys):
+                return 409, ""
+            for key in keys:
+                self.seen[key], self.holds[key] = fence, now + hold * 1.02
+            return 200, ""
+        for key in keys:
+            self.holds.pop(key, None)
+        return 200, f"h{fence}"
+
+    def heard(self, now):
+        return self.up and now >= self.cut_until
+
+    def held(self, now):
+        return {key for key, until in self.holds.items() if self.up and until > now}
+
+
+class Night:
+    """Some seconds of a service with keys.  `rows`: the register, one value that changes at once."""
+
+    def __init__(self, seed, endpoints=4, keepers=2, calm=False):
+        self.draw, self.now, self.calm = random.Random(seed), 0.0, calm
+        self.endpoints = {f"e{i}": Endpoint(f"e{i}") for i in range(endpoints)}
+        self.keepers = [Keeping(f"k{i}", 10.0) for i in range(keepers)]
+        self.asleep = [0.0] * keepers
+        self.rows, self.wire, self.number, self.moves = None, [], endpoints, 0
+
+    def able(self):
+        return {id: (1.0, f"{id}:80") for id, e in self.endpoints.items() if e.heard(self.now)}
+
+    def tick(self, place):
+        state, began = self.keepers[place], self.now
+        if not state.due(Allocation.of(self.rows), began):
+            return
+        held = Allocation.of(self.rows)
+        if not state.step(held, began, self.able(), lambda id: False, EVEN, set()):
+            return state.lost()
+        self.rows = held.rows()
+        # The process may sleep between its change and what follows it, and between a call and its sending.
+        state.stands(Allocation.of(self.rows), began, self.now)
+        for kind, r in state.calls(self.now):
+            delay = self.draw.choice([0.0, 0.0, 0.05, 0.4]) if not self.calm else 0.0
+            self.wire.append((self.now + delay, "go", place, kind, r))
+
+    def go(self, place, kind, r):
+        state = self.keepers[place]
+        if not self.endpoints[r.holder].heard(self.now):
+            return state.answered(kind, r, 0, "", self.now)
+        if not state.goes_out(kind, r, self.now):
+            return state.answered(kind, r, None, "", self.now)
+        late = self.draw.choice([0.0, 0.0, 0.1, NET]) if not self.calm else 0.0
+        self.wire.append((self.now + late, "arrive", place, kind, r))
+
+    def arrive(self, place, kind, r):
+        endpoint, answer = self.endpoints[r.holder], (0, "")
+        if endpoint.up:
+            answer = endpoint.take(kind, (r.low, r.high, r.fence, self.keepers[place].hold), self.now)
+        if not self.calm and self.draw.random() < 0.1:
+            answer = 0, ""  # lost on its way back
+        self.keepers[place].answered(kind, r, *answer, self.now)
+
+    def play(self, seconds):
+        """What went wrong, or None."""
+        while self.now < seconds:
+            self.now = round(self.now + 0.1, 3)
+            if not self.calm:
+                self.trouble()
+            due = [row for row in self.wire if row[0] <= self.now]
+            self.wire = [row for row in self.wire if row[0] > self.now]
+            for at, what, place, *rest in sorted(due, key=lambda row: row[0]):
+                if what == "go" and self.asleep[place] > self.now:
+                    self.wire.append((self.asleep[place], what, place, *rest))
+                else:
+                    getattr(self, what)(place, *rest)
+            for place in range(len(self.keepers)):
+                if self.asleep[place] <= self.now and self.draw.random() < 0.3:
+                    self.tick(place)
+            holders = {}
+            for endpoint in self.endpoints.values():
+                for key in endpoint.held(self.now):
+                    if key in holders:
+                        return f"{self.now:.1f} s: key {key} is held by {holders[key]} and {endpoint.id}"
+                    holders[key] = endpoint.id
+        return None
+
+    def trouble(self):
+        if self.draw.random() < 0.02:
+            self.asleep[self.draw.randrange(len(self.keepers))] = self.now + self.draw.choice([0.5, 2.0, 4.0])
+        if self.draw.random() < 0.01:
+            endpoint = self.draw.choice([*self.endpoints.values()])
+            # Cut off, not dead: it goes on to hold what it has, and nobody can tell.
+            endpoint.cut_until = self.now + self.draw.choice([2.0, 9.0])
+
+
+def first_breach(seeds, seconds=40):
+    for seed in seeds:
+        if wrong := Night(seed).play(seconds):
+            return f"seed {seed}: {wrong}"
+    return None
+
+
+class Keeping_(unittest.TestCase):
+    def test_no_key_has_two_holders_whatever_sleeps_and_is_lost(self):
+        self.assertIsNone(first_breach(range(120)))
+
+    def test_planted_faults_are_seen(self):
+        with mock.patch.object(Keeping, "goes_out", lambda self, kind, r, now: True):
+            self.assertIn("is held by", first_breach(range(120)) or "")
+        with mock.patch.object(keeping, "SLOW", 0.5):
+            self.assertIn("is held by", first_breach(range(120)) or "")
+        with mock.patch.object(keeping, "NET", -2.0):
+            self.assertIn("is held by", first_breach(range(120)) or "")
+
+    def test_a_dead_holders_keys_wait_for_its_last_grant_alone(self):
+        """Calls whose connection does not come up leave its time as it is."""
+        night = Night(5, keepers=1, calm=True)
+        night.play(8)
+        night.endpoints["e1"].up = False
+        died, waits = night.now, []
+        while night.now < died + 12:
+            night.play(night.now + 0.2)
+            served = {key for e in night.endpoints.values() for key in e.held(night.now)}
+            if len(served) < len(SAMPLES):
+                waits.append(night.now - died)
+        state = night.keepers[0]
+        self.assertLess(max(waits), state.hold * keeping.SLOW + NET + keeping.SPARE + 1.5)
+
+    def test_a_change_that_did_not_stand_keeps_the_handover(self):
+        night = Night(1, keepers=1, calm=True)
+        night.play(6)
+        state, held = night.keepers[0], Allocation.of(night.rows)
+        plan.evict(held, {"e1"})
+        leaving = next(r for r in held.ranges if r.holder == "e1")
+        night.rows = held.rows()
+        state.allocation = held
+        state.answered("release", leaving, 200, "proof", night.now)
+        for _ in range(2):  # the register was taken by another writer: the same step once more
+            again = Allocation.of(night.rows)
+            state.step(again, night.now, night.able(), lambda id: False, Heat(), set())
+            self.assertIn("proof", [r.handover for r in again.ranges])
+
+    def test_a_hold_that_an_older_text_granted_is_waited_for(self):
+        rows = Night(1, keepers=1, calm=True)
+        rows.play(6)
+        held = Allocation.of([*rows.rows[:5], 9.0])
+        rows.keepers[0].step(held, rows.now, rows.able(), lambda id: False, Heat(), set())
+        self.assertEqual(held.hold, 9.0)
+        self.assertEqual(Allocation.of(rows.rows[:5]).hold, 0.0)  # as it was written before there was one
+
+
+class Warm(unittest.TestCase):
+    def test_parts_add_up_and_sizes_answer_them(self):
+        heat = Heat({3: 500, 700: 100})
+        self.assertAlmostEqual(heat.part(0, KEYS - 1), 1.0)
+        self.assertAlmostEqual(heat.part(0, 999) + heat.part(1000, KEYS - 1), 1.0)
+        self.assertGreater(heat.part(192, 255), 0.5)
+        for low, part in ((0, 0.01), (0, 0.3), (192, 0.2), (40000, 0.05)):
+            size = heat.size(low, part)
+            self.assertLessEqual(heat.part(low, low + size - 1), part + 1e-9)
+            self.assertGreater(heat.part(low, low + size), part - 1e-9)
+        self.assertAlmostEqual(Heat().part(0, KEYS // 2 - 1), 0.5)
+
+    def test_a_hot_stretch_is_divided_until_nobody_bears_far_too_much(self):
+        allocation, able = Allocation.of(None), {f"e{i}": 1.0 for i in range(8)}
+        addrs = {id: f"{id}:80" for id in able}
+        plan.fill(allocation, able, addrs, Heat())
+        heat, moved = Heat(dict.fromkeys(range(10, 14), 400) | dict.fromkeys(range(1024), 1)), 0
+        hot = max(plan.borne(allocation, able, heat).items(), key=lambda row: row[1])[0]
+        self.assertFalse(plan.spread(allocation, able, heat, set()), "it has room: nothing moves")
+        while plan.spread(allocation, able, heat, {hot}) and moved < 40:
+            for r in allocation.ranges:
+                if r.state == plan.LEAVING:
+                    r.state, r.holder = plan.FREE, ""
+            plan.fill(allocation, able, addrs, heat)
+            moved += 1
+        bears = plan.borne(allocation, able, heat)
+        self.assertLess(max(bears.values()), plan.BUSY / 8 + 0.01)
+        self.assertLess(moved, 12)
+
+    def test_sums_fade_and_others_hear_of_them(self):
+        here, there = Warmth(), Warmth()
+        told = None
+        for _ in range(10):
+            told = here.take({"keys": {"s": {5: 40}}, "load": {"e1": [1.8, 2], "e2": [0.4, 2]}}) or told
+        there.hear(told)
+        self.assertEqual(there.of("s")[1], {"e1"})
+        self.assertGreater(there.of("s")[0].part(320, 383), 0.5)
+        for _ in range(120):
+            here.take(None)
+        self.assertEqual(here.keys["s"], {})
--- a/tests/test_system_parts.py
+++ b/tests/test_system_parts.py
@@ -10,7 +10,7 @@
 from flintreach.bothy.choice import SECOND, Budget, Here, Hut, choose, cold_pilots, divide, may_warm, patience
 from flintreach.bothy.reply import HTTPParseError, Replies
 from flintreach.bunks import plan
-from flintreach.bunks.plan import FREE, HELD, KEYS, LEAVING, Allocation
+from flintreach.bunks.plan import FREE, HELD, KEYS, LEAVING, Allocation, Heat
 from flintreach.cairn import circle
 from flintreach.cairn.acceptor import Acceptor
 from flintreach.cairn.proposer import Change
@@ -274,10 +274,12 @@
     def test_sums_of_relays_add_up(self):
         top, low = Tally(), Tally()
         low.request("s")
+        low.key("k", 7)
+        top.key("k", 7, 2)
         low.told("e", 0.5)
         top.request("s")
         top.add(low.take())
-        self.assertEqual(top.take(), {"came": {"s": 2}, "load": {"e": [0.5, 1]}})
+        self.assertEqual(top.take(), {"came": {"s": 2}, "keys": {"k": {7: 3}}, "load": {"e": [0.5, 1]}})
         self.assertIsNone(top.take())
 
 
@@ -299,8 +301,9 @@
             for r in allocation.ranges:
                 if r.state == LEAVING and draw.random() < 0.5:
                     r.state, r.holder = FREE, ""
-            plan.fill(allocation, able, addrs)
-            plan.spread(allocation, able)
+            heat = Heat({draw.randrange(1024): 300.0 for _ in range(3)})
+            plan.fill(allocation, able, addrs, heat)
+            plan.spread(allocation, able, heat, {*able})
             self.whole(allocation)
             for low, high, holder, state in before:
                 if state == LEAVING:
