Connections: idle ones stay within an endpoint's cap over all pilots; a reset at once has sent nothing

Idle connections were ended only when they were next taken.

A front keeps connections to its own part of its zone; to others each lies idle so briefly that all pilots' together stay under two fifths of the cap, by the time between its requests. A fresh connection is looked at for 3 ms: one that is reset was never sent on. A sole holder is shunned for a seventh of a second at the most.

--- a/flintreach/bothy/carry.py
+++ b/flintreach/bothy/carry.py
@@ -7,8 +7,18 @@
 import gevent
 from gevent.queue import Empty, SimpleQueue
 
-from flintreach.bothy.choice import KEY_WAIT, SECOND_SHARE, TABLE, Budget, choose, cold_pilots, patience
-from flintreach.bothy.endpoint import ANSWERED, BROKEN, NOT_RUN, UNSENT, Outcome, exchange
+from flintreach.bothy.choice import (
+    FULL_FOR,
+    KEY_WAIT,
+    SECOND_SHARE,
+    TABLE,
+    Budget,
+    choose,
+    cold_pilots,
+    idle_for,
+    patience,
+)
+from flintreach.bothy.endpoint import ANSWERED, BROKEN, IDLE, NOT_RUN, UNSENT, Outcome, exchange
 from flintreach.bothy.world import World, slice_of
 from flintreach.bunks.plan import BUCKET, KEYS
 from flintreach.trail.tally import Tally
@@ -169,7 +179,9 @@
         try:
             head = self.head(request, hut, until - now)
             id = request.low.get("x-try-id", "")
-            outcome = exchange(hut.wires, head, request.body, id, until, CONNECT_S)
+            depot = self.world.routes.depots.get(line)
+            idle = idle_for(hut, self.world.here, depot.berth_cap, IDLE) if depot else IDLE
+            outcome = exchange(hut.wires, head, request.body, id, until, CONNECT_S, idle)
             return outcome
         finally:
             after = time.monotonic_ns()
@@ -221,8 +233,11 @@
                 hut.shun_until = max(hut.shun_until, now + 300 * MS)
             else:
                 hut.shun_until = max(hut.shun_until, now + 50 * MS)
+        elif outcome.full:
+            hut.shun_until = max(hut.shun_until, now + FULL_FOR)
+            self.count("full")
         else:
-            hut.fails(now)
+            hut.fails(now, self.world.sharded(line) and not outcome.dark)
             if outcome.dark:  # its idle connections are as dead
                 hut.wires.close()
 
--- a/flintreach/bothy/choice.py
+++ b/flintreach/bothy/choice.py
@@ -13,6 +13,8 @@
 OTHERS = 0.05  # of a route's aim: what is another front's part; of one's own the load is known best
 OFF = 0.25  # of a route's aim: an endpoint that is not in the slice's table is for what these can't take
 SHUN, SHUN_MOST = SECOND // 2, 8 * SECOND  # out of use after a failure, doubled by each one after it
+FULL_FOR, SOLE_FOR = SECOND // 20, SECOND // 7  # out of use: without room for a connection; a sole holder
+IDLE_PART, MINE_PART = 0.4, 0.2  # of the connections an endpoint accepts: idle ones of all; of its main user
 SHARE = 0.5  # of the slack of a budget that all pilots together may use up
 COLD_PART = 0.6  # of what the rules allow above a cold endpoint's rate: pilots that send there, one each
 USUAL, EARLY, LATEST = 3, 0.3, 0.6  # times of its usual work, and parts of its aim, after which one is slow
@@ -42,6 +44,8 @@
     seen: int = 0  # when it last answered us
     since: int = 0  # the oldest request that was sent after its last answer; 0: none
     sent_cold: int = 0  # when a request was last sent to it while cold
+    gap: int = SECOND  # usual time between our requests to it, smoothed, and when the last one went
+    sent_at: int = 0
     own: bool = True  # this process's part of the zone's endpoints
     wires: object = None
 
@@ -56,6 +60,7 @@
     def sends(self, now: int) -> None:
         self.mine += 1
         self.since = self.since or now
+        self.gap, self.sent_at = (3 * self.gap + min(now - self.sent_at, 8 * SECOND)) // 4, now
 
     def ends(self, answered: bool, now: int) -> None:
         """A request of ours is over; any answer shows that it is there."""
@@ -64,9 +69,11 @@
         if answered or not self.mine:
             self.since = now if self.mine else 0
 
-    def fails(self, now: int) -> None:
+    def fails(self, now: int, sole: bool = False) -> None:
+        """`sole`: nobody else holds its keys, so shunning it helps nobody for long."""
         self.strikes += 1
-        self.shun_until = now + min(SHUN_MOST, SHUN << min(self.strikes, 5) >> 1)
+        time = min(SHUN_MOST, SHUN << min(self.strikes, 5) >> 1)
+        self.shun_until = now + (min(SOLE_FOR, time) if sole else time)
 
     def there(self, now: int) -> bool:
         """Whether it is to be used: its missing beats may only be another pilot's, if it answers us."""
@@ -116,6 +123,17 @@
     return turn < pilots and now - last >= pilots * SECOND / cold_per_s
 
 
+def idle_for(hut: Hut, here: Here, cap: int, most: int) -> int:
+    """How long (ns) a connection to an endpoint may lie idle, lest all pilots' fill what it accepts.
+
+    Of its own part in its own zone a front is the main user and keeps some; of the others each connection
+    stands open for this time at each use, so uses of all pilots times it are the connections they hold.
+    """
+    if hut.own and hut.zone == here.zone:
+        return most if len(hut.wires.idle) < max(1, MINE_PART * cap) else 0
+    return min(most, int(IDLE_PART * cap / max(1, here.fronts) * hut.gap))
+
+
 def patience(aim: int, work: int) -> int:
     """How long an answer may take before a second endpoint is asked, or the first one is doubted."""
     return int(max(EARLY * aim, min(LATEST * aim, USUAL * work)))
--- a/flintreach/bothy/endpoint.py
+++ b/flintreach/bothy/endpoint.py
@@ -18,13 +18,16 @@
 RESET = struct.pack("ii", 1, 0)
 IDLE = 4_000_000_000  # ns that a connection may lie idle when the endpoint tells nothing
 MUTE_MS = 1200  # without a sign from the machine's kernel for so long, a connection is dead
+LOOK_S = 0.003  # seconds for which a fresh connection is looked at: an endpoint that has too many resets it
 
 
 class Outcome:
-    __slots__ = ("kind", "message", "dark")
+    """`dark`: its machine says nothing.  `full`: it takes no further connection at present."""
 
-    def __init__(self, kind, message=None, dark=False):
-        self.kind, self.message, self.dark = kind, message, dark
+    __slots__ = ("kind", "message", "dark", "full")
+
+    def __init__(self, kind, message=None, dark=False, full=False):
+        self.kind, self.message, self.dark, self.full = kind, message, dark, full
 
 
 class Wire:
@@ -82,22 +85,43 @@
             wire.drop()
         return None
 
-    def put(self, wire: Wire, message) -> None:
+    def put(self, wire: Wire, message, most: int) -> None:
+        """Keep a connection for later, `most` nanoseconds at the longest."""
         told = message.get("keep-alive") or ""
-        wire.idle_at, wire.keep = time.monotonic_ns(), IDLE
+        wire.idle_at, wire.keep = time.monotonic_ns(), min(IDLE, most)
         for part in told.split(","):
             name, _, value = part.strip().partition("=")
             if name.lower() == "timeout" and value.isdigit():
-                wire.keep = min(IDLE, max(0, int(value) * 1_000_000_000 - 1_000_000_000))
-        self.idle.append(wire)
+                wire.keep = min(wire.keep, max(0, int(value) * 1_000_000_000 - 1_000_000_000))
+        if wire.keep > 0:
+            self.idle.append(wire)
+        else:
+            wire.drop()
+
+    def prune(self, now: int) -> None:
+        """End connections that have lain idle too long: they count against what their endpoint accepts."""
+        for wire in [wire for wire in self.idle if now - wire.idle_at > wire.keep]:
+            self.idle.remove(wire)
+            wire.drop()
 
     def close(self) -> None:
         while self.idle:
             self.idle.pop().drop()
 
 
-def exchange(wires: Wires, head: bytes, body: bytes, id: str, until: int, connect_s: float) -> Outcome:
-    """Send one request; `until`: steady nanoseconds at which nobody waits for the answer any more."""
+def turned_away(wire: Wire) -> bool:
+    """Whether a fresh connection was ended at once: then nothing was sent on it, and nothing has run."""
+    try:
+        socket.wait_read(wire.sock.fileno(), timeout=LOOK_S)
+    except (OSError, TimeoutError):
+        return False
+    return True  # bytes before any request are no answer either
+
+
+def exchange(wires: Wires, head: bytes, body: bytes, id: str, until: int, connect_s: float,
+             most: int = IDLE) -> Outcome:
+    """Send one request; `until`: steady nanoseconds at which nobody waits for the answer any more; `most`:
+    nanoseconds for which its connection may lie idle afterwards."""
     wire = wires.take()
     if wire is None:
         left = (until - time.monotonic_ns()) / 1e9
@@ -106,7 +130,10 @@
         try:
             wire = wires.connect(min(connect_s, left))
         except OSError as error:
-            return Outcome(UNSENT, dark=error.errno != errno.ECONNREFUSED)
+            return Outcome(UNSENT, dark=error.errno not in (errno.ECONNREFUSED, errno.ECONNRESET))
+        if turned_away(wire):
+            wire.drop()
+            return Outcome(UNSENT, full=True)
     replies, kind, keep = Replies(head.startswith(b"HEAD ")), BROKEN, False
     try:
         with gevent.Timeout(max(0.0, (until - time.monotonic_ns()) / 1e9)):
@@ -136,6 +163,6 @@
         return Outcome(BROKEN, dark=error.errno in (errno.ETIMEDOUT, errno.EHOSTUNREACH))
     finally:
         if keep:
-            wires.put(wire, found)
+            wires.put(wire, found, most)
         else:
             wire.drop()
--- a/flintreach/bothy/program.py
+++ b/flintreach/bothy/program.py
@@ -25,7 +25,7 @@
 from flintreach.waymark.timetable import Caps
 
 POST, REFUGE_POST = 1, 0  # places of the programs in the spare ports
-TALLY_S, LEAVE_S = 1.0, 1.0
+TALLY_S, LEAVE_S, PRUNE_S = 1.0, 1.0, 0.4
 ROLE = "bothy"
 
 
@@ -82,6 +82,13 @@
             if body := self.tally.take():
                 self.relay.say_up(body)
 
+    def prune(self) -> None:
+        while True:
+            gevent.sleep(PRUNE_S)
+            now = time.monotonic_ns()
+            for hut in [*self.world.huts.values()]:
+                hut.wires.prune(now)
+
     def run(self) -> int:
         self.bundle.start()
         self.lookout.start()
@@ -91,6 +98,7 @@
         gevent.signal_handler(signal.SIGHUP, self.reread)
         gevent.spawn(settings.watch, self.reread, gevent.sleep)
         gevent.spawn(self.tell_up)
+        gevent.spawn(self.prune)
         gevent.spawn(self.get_ready)
         self.stopping.wait()
         return self.leave()
