--- a/flintreach/trail/relay.py
+++ b/flintreach/trail/relay.py
@@ -1,8 +1,8 @@
-"""The tree of news at work: one link up to a parent, any number of links down to children.
+"""The tree of news at work: links up to two parents, any number of links down to children.
 
 A child tells what it holds, and gets what it lacks; then each new parcel as it comes.  Each SIGN the parent
 says how old its own news may be: a relay that is cut off from the refuges is noticed by that, not by silence
-alone.
+alone.  Two parents tell the same: one that dies or falls behind costs nothing while another is looked for.
 """
 
 import time
@@ -14,6 +14,7 @@
 from flintreach.trail.board import Board
 
 SIGN, STALE = 0.25, 1.2  # seconds between signs; without a fresh one, another parent is looked for
+PARENTS = 2
 
 
 class Relay:
@@ -23,7 +24,8 @@
         self.bundle, self.board, self.parents = bundle, board, parents
         self.children: dict[Link, bool] = {}
         self.fresh_at, self.root_age = None, root_age  # a refuge knows by itself how old its news may be
-        self.link = None
+        self.links: list[Link | None] = [None] * PARENTS
+        self.taken: list = [None] * PARENTS  # addresses that each climber keeps to
         self.told = told or (lambda body: None)  # what a child says upward
         bundle.handlers |= {"follow": self.on_follow, "up": lambda link, body: self.told(body)}
         board.watchers.append(self.spread)
@@ -31,7 +33,8 @@
     def start(self) -> None:
         gevent.spawn(self.signs)
         if self.parents:
-            gevent.spawn(self.climb)
+            for place in range(PARENTS):
+                gevent.spawn(self.climb, place)
 
     def age(self) -> float:
         """Seconds since what this process holds was that of a refuge; a day if it never was."""
@@ -60,29 +63,35 @@
     # Up.
 
     def on_news(self, link, rows) -> None:
-        if link is self.link:
+        if link in self.links:
             for key, version, value in rows:
                 self.board.offer(key, version, value)
 
     def on_sign(self, link, age) -> None:
-        if link is self.link and age < STALE:
+        if link in self.links and age < STALE:
             self.fresh_at = max(self.fresh_at or 0.0, time.monotonic() - age)
+            link.fresh_at = max(link.fresh_at, time.monotonic() - age)
 
-    def climb(self) -> None:
+    def best(self, place: int, avoid: dict) -> tuple[str, int] | None:
+        """The best parent that no other climber keeps to, and that this one need not avoid."""
+        others = [address for at, address in enumerate(self.taken) if at != place]
+        free = [address for address in self.parents() if address not in others]
+        now = time.monotonic()
+        return next((address for address in free if avoid.get(address, 0) <= now), free[0] if free else None)
+
+    def climb(self, place: int) -> None:
         """Keep to the best parent whose news are fresh; another while there is none."""
         handlers = {"news": self.on_news, "sign": self.on_sign}
         avoid: dict = {}
         while True:
-            now = time.monotonic()
-            found = [a for a in self.parents() if avoid.get(a, 0) <= now] or self.parents()
-            if not found:
-                gevent.sleep(0.05)
+            self.taken[place] = address = self.best(place, avoid)
+            if address is None:
+                gevent.sleep(0.05 if not place else 0.5)
                 continue
-            address = found[0]
             try:
-                self.link = link = dial(address, handlers, 0.7)
+                self.links[place] = link = dial(address, handlers, 0.7)
             except OSError:
-                avoid[address] = now + 3
+                avoid[address] = time.monotonic() + 3
                 gevent.sleep(0.02)
                 continue
             try:
@@ -98,20 +107,19 @@
                 while not link.closed:
                     gevent.sleep(SIGN)
                     # Right after a start a parent may not know much itself.
-                    if time.monotonic() - max(self.fresh_at or 0.0, began) > STALE:
+                    if time.monotonic() - max(link.fresh_at, began) > STALE:
+                        avoid[address] = time.monotonic() + 3
                         break
-                    best = [a for a in self.parents() if avoid.get(a, 0) <= time.monotonic()]
-                    if best and best[0] != address:
+                    if self.best(place, avoid) != address:
                         break
                 else:
                     avoid[address] = time.monotonic() + 1
-                if not link.closed and time.monotonic() - max(self.fresh_at or 0.0, began) > STALE:
-                    avoid[address] = time.monotonic() + 3
             except (Closed, TypeError, ValueError):
                 avoid[address] = time.monotonic() + 3
                 gevent.sleep(0.05)
             link.close()
 
     def say_up(self, body) -> None:
-        if self.link is not None and not self.link.closed:
-            self.link.send("up", body)
+        open_ = [link for link in self.links if link is not None and not link.closed]
+        if open_:
+            max(open_, key=lambda link: link.fresh_at).send("up", body)
