--- a/flintreach/bothy/carry.py
+++ b/flintreach/bothy/carry.py
@@ -180,7 +180,9 @@
             head = self.head(request, hut, until - now)
             id = request.low.get("x-try-id", "")
             depot = self.world.routes.depots.get(line)
-            idle = idle_for(hut, self.world.here, depot.berth_cap, IDLE) if depot else IDLE
+            idle = IDLE
+            if depot:
+                idle = idle_for(hut, self.world.here, depot.berth_cap, IDLE, depot.sharded)
             outcome = exchange(hut.wires, head, request.body, id, until, CONNECT_S, idle)
             return outcome
         finally:
--- a/flintreach/bothy/choice.py
+++ b/flintreach/bothy/choice.py
@@ -14,7 +14,7 @@
 OFF = 0.25  # of a route's aim: an endpoint that is not in the slice's table is for what these can't take
 SHUN, SHUN_MOST = SECOND // 2, 8 * SECOND  # out of use after a failure, doubled by each one after it
 FULL_FOR, SOLE_FOR = SECOND // 20, SECOND // 7  # out of use: without room for a connection; a sole holder
-IDLE_PART, MINE_PART = 0.4, 0.2  # of the connections an endpoint accepts: idle ones of all; of its main user
+IDLE_PART, MINE_PART = 0.6, 0.5  # of the connections an endpoint accepts: idle ones of all; of its owners
 SHARE = 0.5  # of the slack of a budget that all pilots together may use up
 COLD_PART = 0.6  # of what the rules allow above a cold endpoint's rate: pilots that send there, one each
 USUAL, EARLY, LATEST = 3, 0.3, 0.6  # times of its usual work, and parts of its aim, after which one is slow
@@ -93,6 +93,7 @@
     place: dict[str, int] = field(default_factory=dict)  # front -> its place by name
     name: str = ""
     mates: tuple[int, int] = (0, 1)  # this process's place among the fronts of its zone, and their number
+    zones: int = 1  # of all fronts
 
 
 def cold_pilots(rate: float, excess: float, slack: float, fronts: int) -> int:
@@ -123,14 +124,15 @@
     return turn < pilots and now - last >= pilots * SECOND / cold_per_s
 
 
-def idle_for(hut: Hut, here: Here, cap: int, most: int) -> int:
+def idle_for(hut: Hut, here: Here, cap: int, most: int, sole: bool = False) -> int:
     """How long (ns) a connection to an endpoint may lie idle, lest all pilots' fill what it accepts.
 
-    Of its own part in its own zone a front is the main user and keeps some; of the others each connection
-    stands open for this time at each use, so uses of all pilots times it are the connections they hold.
+    Each zone has one front that an endpoint is the part of: these are its main users, and keep some.  To the
+    others, and to the `sole` holder of keys, a connection stands open for this time at each use: the uses of
+    all pilots times it are the connections they hold.
     """
-    if hut.own and hut.zone == here.zone:
-        return most if len(hut.wires.idle) < max(1, MINE_PART * cap) else 0
+    if hut.own and not sole:
+        return most if len(hut.wires.idle) < max(1, MINE_PART * cap // max(1, here.zones)) else 0
     return min(most, int(IDLE_PART * cap / max(1, here.fronts) * hut.gap))
 
 
--- a/flintreach/bothy/program.py
+++ b/flintreach/bothy/program.py
@@ -67,6 +67,7 @@
         roster = self.lookout.roster
         names = sorted(m.name for m in roster.members.values() if m.role == ROLE)
         self.here.fronts = len(names)
+        self.here.zones = len({m.zone for m in roster.members.values() if m.role == ROLE})
         self.here.place = {name: number for number, name in enumerate(names)}
         mates = sorted(m.name for m in roster.alive(ROLE) if m.zone == self.here.zone)
         self.here.mates = mates.index(self.here.name), len(mates)
