--- a/flintreach/bothy/carry.py
+++ b/flintreach/bothy/carry.py
@@ -183,7 +183,8 @@
             idle = IDLE
             if depot:
                 idle = idle_for(hut, self.world.here, depot.berth_cap, IDLE, depot.sharded)
-            outcome = exchange(hut.wires, head, request.body, id, until, CONNECT_S, idle)
+            outcome = exchange(hut.wires, head, request.body, id, until, CONNECT_S, idle,
+                               lambda: self.world.takes(hut))
             return outcome
         finally:
             after = time.monotonic_ns()
--- a/flintreach/bothy/endpoint.py
+++ b/flintreach/bothy/endpoint.py
@@ -119,9 +119,9 @@
 
 
 def exchange(wires: Wires, head: bytes, body: bytes, id: str, until: int, connect_s: float,
-             most: int = IDLE) -> Outcome:
+             most: int = IDLE, still=lambda: True) -> Outcome:
     """Send one request; `until`: steady nanoseconds at which nobody waits for the answer any more; `most`:
-    nanoseconds for which its connection may lie idle afterwards."""
+    nanoseconds for which its connection may lie idle afterwards; `still()`: whether it may be sent there."""
     wire = wires.take()
     if wire is None:
         left = (until - time.monotonic_ns()) / 1e9
@@ -134,6 +134,10 @@
         if turned_away(wire):
             wire.drop()
             return Outcome(UNSENT, full=True)
+    if not still():
+        # While the connection came up, news came: the endpoint leaves, or its zone is emptied.
+        wire.drop()
+        return Outcome(UNSENT)
     replies, kind, keep = Replies(head.startswith(b"HEAD ")), BROKEN, False
     try:
         with gevent.Timeout(max(0.0, (until - time.monotonic_ns()) / 1e9)):
--- a/flintreach/bothy/world.py
+++ b/flintreach/bothy/world.py
@@ -96,6 +96,12 @@
         return ((hut.state != "closing" or now - hut.closing_at < self.last_call)
                 and now - self.away.get(hut.zone, now) < self.last_stay)
 
+    def takes(self, hut: Hut) -> bool:
+        """Whether anything may go to an endpoint at all: the rules on leaving and on evacuations."""
+        if self.sharded(hut.line):
+            return hut.state != "gone" and self.stays(hut)
+        return hut.state not in ("closing", "gone") and hut.zone not in self.away
+
     def able(self, route, line: str, key: int | None, tried: set[str]) -> list[Hut]:
         """Endpoints that may serve a try: the rules bind first, then what is well."""
         if self.divided != self.here.mates:
@@ -103,11 +109,11 @@
             divide([*self.huts.values()], *self.divided)
         if self.sharded(line):
             hut = self.huts.get(self.holder(line, key) or "") if key is not None else None
-            found = [hut] if hut is not None and self.stays(hut) else []
+            found = [hut] if hut is not None else []
         else:
-            found = [hut for hut in self.lines.get(line, {}).values()
-                     if hut.state != "closing" and hut.zone not in self.away]
+            found = self.lines.get(line, {}).values()
         homes = route.homes
-        found = [hut for hut in found if hut.id not in tried and (not homes or hut.region in homes)]
+        found = [hut for hut in found if self.takes(hut) and hut.id not in tried
+                 and (not homes or hut.region in homes)]
         now = self.clock()
         return [hut for hut in found if hut.there(now)] or found
