The directory's answers hold half a second where few ask, longer where many do

A refuge stretches the time by what it is asked: 300 answers a second at the most for a time of half a second, 1.5 s where more would come.

--- a/flintreach/refuge/control.py
+++ b/flintreach/refuge/control.py
@@ -1,5 +1,7 @@
 """What endpoints, the operator and clients call: one table of calls, answered as WSGI by gevent's server."""
 
+import time
+
 import gevent
 import msgspec
 from gevent import pywsgi
@@ -68,7 +70,7 @@
         addrs = self.refuge.directions(asked.get("name", ""), asked.get("region", ""), asked.get("zone", ""))
         if not addrs:
             return 503, {"fault": "nobody is ready"}
-        return 200, {"post_addrs": addrs, "valid_s": self.refuge.ttl}
+        return 200, {"post_addrs": addrs, "valid_s": round(self.refuge.valid(time.monotonic()), 2)}
 
 
 def listen(address: tuple[str, int], refuge, names: set[str]) -> pywsgi.WSGIServer:
--- a/flintreach/refuge/program.py
+++ b/flintreach/refuge/program.py
@@ -15,7 +15,7 @@
 from flintreach.cairn.register import Register
 from flintreach.cairn.store import Store, StoreError
 from flintreach.hutbook.book import CLOSING, GONE, READY, Beat, Book
-from flintreach.lookout.roster import Member
+from flintreach.lookout.roster import ALIVE, Member
 from flintreach.lookout.watch import Lookout
 from flintreach.refuge.control import listen
 from flintreach.refuge.keys import Keeper
@@ -34,7 +34,7 @@
 ROLE, POST, BOTHY_POST = "refuge", 0, 1
 ACK_S = 0.85  # callers move on after a second
 ALONE_S = 1.2  # without a word from a majority, a refuge takes no beats
-TTL = 1.5
+TTL, ASKED = (0.5, 1.5), 300  # seconds an answer of the directory holds; answers a second of one refuge
 WAIT = 0.6, 2.5  # seconds at a first start for more disks: without a new one, and in all
 SWEEP_S, KEYS_S, LOOK_S, PLACE_S = 2.0, 0.4, 0.25, 1.0
 
@@ -66,7 +66,8 @@
         self.routes: Routes | None = None
         self.board.watchers.append(self.on_parcel)
         self.followed: set = set()
-        self.majority_at, self.ttl = -86400.0, min(TTL, node.bounds.ttl_max_s)
+        self.majority_at = -86400.0
+        self.asked, self.asked_in, self.ttl = 0, 0.0, TTL[0]
         self.learned: dict[str, tuple] = {}  # key -> the stamp of what was last told as news
         self.lagging: dict[str, tuple] = {}  # key -> the oldest stamp of it that the last sweep saw
         self.tally, self.warmth = Tally(), Warmth()
@@ -467,12 +468,21 @@
         bound = [set(route.homes) for route in self.routes.hosts.get(name.lower(), ())]
         return set.intersection(*bound) if bound else set()
 
+    def valid(self, now: float) -> float:
+        """How long an answer of the directory holds: so short that clients soon leave a front without power,
+        longer where so many ask that answering would cost more than that is worth."""
+        if now - self.asked_in >= 1.0:
+            self.ttl = min(TTL[1], max(TTL[0], self.ttl * self.asked / (now - self.asked_in) / ASKED))
+            self.asked, self.asked_in = 0, now
+        self.asked += 1
+        return min(self.ttl, self.node.bounds.ttl_max_s)
+
     def directions(self, name: str, region: str, zone: str) -> list[str]:
         homes = self.homes(name)
         if homes and region not in homes:
             # Its requests end there anyway: a front of the home brings them on without another long way.
             region, zone = sorted(homes)[0], ""
-        fronts = [m for m in self.lookout.roster.alive("bothy") if m.ready and m.state == 0]
+        fronts = [m for m in self.lookout.roster.alive("bothy") if m.ready and m.state == ALIVE]
         own = [m for m in fronts if m.zone == zone]
         for near in (own, [m for m in fronts if m.region == region], fronts):
             if len(near) >= 2:
--- a/tests/test_system_carrying.py
+++ b/tests/test_system_carrying.py
@@ -3,16 +3,18 @@
 import time
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
-import gevent
+import gevent.socket
 import msgspec
 from gevent.event import Event
 
 from flintreach.bothy.carry import Carrier, Request
 from flintreach.bothy.choice import SECOND, Here
-from flintreach.bothy.endpoint import ANSWERED, BROKEN, NOT_RUN, TIMEOUT, UNSENT, Outcome
+from flintreach.bothy.endpoint import ANSWERED, BROKEN, NOT_RUN, TIMEOUT, UNSENT, Outcome, Wire, exchange
 from flintreach.bothy.reply import Message
 from flintreach.bothy.world import World
+from flintreach.refuge.program import TTL, Refuge
 from flintreach.trail.board import Board
 from flintreach.trail.tally import Tally
 from flintreach.waymark.settings import Bounds
@@ -133,6 +135,22 @@
         board.offer("hut/a", [1, 9], told("n", 0))  # late news change nothing
         self.assertEqual(self.able(made), ["b", "c"])
 
+    def test_what_waited_for_a_connection_is_not_sent_to_one_that_leaves_meanwhile(self):
+        made, board, clock = world(configured(), {"e0": "n"})
+        hut, sent = made.huts["e0"], []
+
+        def connect(timeout):
+            board.offer("hut/e0", [2, 0], told("n", 0, "closing"))
+            here, there = gevent.socket.socketpair()
+            sent.append(there)
+            return Wire(here)
+
+        with mock.patch.object(hut.wires, "connect", connect):
+            out = exchange(hut.wires, b"GET / HTTP/1.1\r\n\r\n", b"", "i", time.monotonic_ns() + 9 * SECOND,
+                           1.0, still=lambda: made.takes(hut))
+        self.assertEqual(out.kind, UNSENT)
+        self.assertEqual(sent[0].recv(10), b"")
+
     def test_homes_bind_before_all_else(self):
         made, _, _ = world(configured(homes=["q"]), {"a": "n", "b": "n", "c": "s"})
         self.assertEqual(self.able(made), ["c"])
@@ -167,7 +185,6 @@
 
 class Refuges(unittest.TestCase):
     def test_alone_means_without_a_word_from_a_majority(self):
-        from flintreach.refuge.program import Refuge
 
         circle = [(f"10.0.0.{i}", 7) for i in range(5)]
         refuge = SimpleNamespace(group=circle, bundle=SimpleNamespace(address=circle[0], heard={}),
@@ -178,6 +195,16 @@
         refuge.bundle.heard = {circle[1]: 50.0, circle[2]: 40.0, circle[3]: 30.0}
         self.assertEqual(Refuge.touched(refuge), 40.0)
 
+    def test_the_directory_is_asked_often_until_it_has_much_to_answer(self):
+        refuge = SimpleNamespace(ttl=TTL[0], asked=0, asked_in=0.0, node=SimpleNamespace(bounds=Bounds()))
+        for clients, least, most in ((30, 0.5, 0.5), (400, 1.1, 1.5), (30, 0.5, 0.5)):
+            now = refuge.asked_in
+            for _ in range(12):  # each client comes back when its answer is over
+                for _ in range(int(clients / refuge.ttl)):
+                    now += refuge.ttl / clients
+                    told = Refuge.valid(refuge, now)
+            self.assertTrue(least <= told <= most, (clients, told))
+
 
 if __name__ == "__main__":
     unittest.main()
