A connection that stands is worth waiting for; owners in an endpoint's own zone keep the most

On links of 2.6 Mbit/s a handshake waits behind downloads both ways. Idle connections above four at an owner were dropped, and endpoints without one cost no more than others.

--- a/flintreach/bothy/choice.py
+++ b/flintreach/bothy/choice.py
@@ -14,7 +14,8 @@
 OFF = 0.25  # of a route's aim: an endpoint that is not in the slice's table is for what these can't take
 SHUN, SHUN_MOST = SECOND // 2, 8 * SECOND  # out of use after a failure, doubled by each one after it
 FULL_FOR, SOLE_FOR = SECOND // 20, SECOND // 7  # out of use: without room for a connection; a sole holder
-IDLE_PART, MINE_PART = 0.6, 0.5  # of the connections an endpoint accepts: idle ones of all; of its owners
+FRESH = 0.05  # of a route's aim: what a connection that does not stand yet is, on a link that is in use
+IDLE_PART, MINE_PART = 0.6, 0.3  # of the connections an endpoint accepts: idle ones of all; of its owners
 SHARE = 0.5  # of the slack of a budget that all pilots together may use up
 COLD_PART = 0.6  # of what the rules allow above a cold endpoint's rate: pilots that send there, one each
 USUAL, EARLY, LATEST = 3, 0.3, 0.6  # times of its usual work, and parts of its aim, after which one is slow
@@ -127,12 +128,13 @@
 def idle_for(hut: Hut, here: Here, cap: int, most: int, sole: bool = False) -> int:
     """How long (ns) a connection to an endpoint may lie idle, lest all pilots' fill what it accepts.
 
-    Each zone has one front that an endpoint is the part of: these are its main users, and keep some.  To the
-    others, and to the `sole` holder of keys, a connection stands open for this time at each use: the uses of
+    Each zone has one front that an endpoint is the part of: these are its main users, and keep some, that of
+    its own zone the most.  To the others, and to the `sole` holder of keys, a connection stands open for this time at each use: the uses of
     all pilots times it are the connections they hold.
     """
     if hut.own and not sole:
-        return most if len(hut.wires.idle) < max(1, MINE_PART * cap // max(1, here.zones)) else 0
+        kept = MINE_PART * cap if hut.zone == here.zone else MINE_PART * cap // max(1, here.zones - 1)
+        return most if len(hut.wires.idle) < max(1, kept) else 0
     return min(most, int(IDLE_PART * cap / max(1, here.fronts) * hut.gap))
 
 
@@ -147,6 +149,7 @@
     load = hut.load(now)
     over = load + 1 - hut.berths
     way += 0 if hut.own else OTHERS * aim
+    way += 0 if hut.wires is None or hut.wires.idle else FRESH * aim
     return way + (over / hut.berths * work if over > 0 else 0.0) + 0.25 * work * load / hut.berths
 
 
--- a/tests/test_system_parts.py
+++ b/tests/test_system_parts.py
@@ -441,7 +441,10 @@
         main, here.zones = self.hut("e", wires=Wires("10.0.0.1:80")), 6
         self.assertEqual(idle_for(main, here, cap, most), most)
         self.assertLess(idle_for(main, here, cap, most, sole=True), most)
-        main.wires.idle = [None] * 4
+        far = self.hut("e", zone="b", wires=Wires("10.0.0.1:80"))
+        far.wires.idle = [None] * 2
+        self.assertEqual((idle_for(main, here, cap, most), idle_for(far, here, cap, most)), (most, 0))
+        main.wires.idle = [None] * 15
         self.assertEqual(idle_for(main, here, cap, most), 0)
 
     def test_a_connection_that_is_reset_at_once_has_sent_nothing(self):
