--- a/flintreach/bothy/choice.py
+++ b/flintreach/bothy/choice.py
@@ -129,8 +129,8 @@
     """How long (ns) a connection to an endpoint may lie idle, lest all pilots' fill what it accepts.
 
     Each zone has one front that an endpoint is the part of: these are its main users, and keep some, that of
-    its own zone the most.  To the others, and to the `sole` holder of keys, a connection stands open for this time at each use: the uses of
-    all pilots times it are the connections they hold.
+    its own zone the most.  To the others, and to the `sole` holder of keys, a connection stands open for this
+    time at each use: the uses of all pilots times it are the connections they hold.
     """
     if hut.own and not sole:
         kept = MINE_PART * cap if hut.zone == here.zone else MINE_PART * cap // max(1, here.zones - 1)
--- /dev/null
+++ b/flintreach/standins/camp.py
@@ -0,0 +1,199 @@
+"""The whole system on this machine's loopback: refuges and bothies as processes, endpoints as stand-ins here.
+
+Each machine of the deployment is an address of its own under 127.0.0.0/8, so all use the same ports, as on
+real machines.  For a first look (`flintreach camp`) and for tests of the programs over sockets.
+"""
+
+import json
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+
+import gevent
+import gevent.event
+import yaml
+
+from flintreach.standins.endpoint import Endpoint
+
+ZONES = {"north-a": "north", "north-b": "north", "south-a": "south"}
+TIMETABLE = {
+    "edition": "00000001",
+    "wickets": [{"destination": "camp.example", "regulations": [
+        {"name": "look", "kind": "safe", "target_ms": 800, "sorting": {"postcode": "/look/"},
+         "dispatch": {"line": "desk", "deadline_ms": 3000, "tries": 2}},
+        {"name": "file", "kind": "unsafe", "target_ms": 800, "sorting": {"postcode": "/file/"},
+         "dispatch": {"line": "desk", "deadline_ms": 3000, "tries": 2}},
+        {"name": "fetch", "kind": "outbound_post", "target_ms": 800, "sorting": {"postcode": "/fetch/"},
+         "dispatch": {"line": "store", "deadline_ms": 3000, "tries": 2}}]}],
+    "depots": [{"name": "desk"}, {"name": "store", "sharded": True}]}
+
+
+@dataclass
+class Machine:
+    """One process of the system and where it stands."""
+
+    name: str
+    role: str
+    ip: str
+    zone: str
+    folder: str
+    process: subprocess.Popen | None = None
+    posts: dict[str, str] = field(default_factory=dict)
+
+    def start(self) -> None:
+        environ = {**os.environ, "FLINTREACH_NODE_FILE": os.path.join(self.folder, "node.yaml")}
+        with open(os.path.join(self.folder, "log"), "ab") as log:
+            self.process = subprocess.Popen([sys.executable, "-m", "flintreach", self.role], env=environ,
+                                            stdout=log, stderr=log)
+
+    def end(self, how=signal.SIGKILL) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(how)
+            while self.process.poll() is None:
+                gevent.sleep(0.01)
+
+
+class Camp:
+    """`base`: three numbers of the loopback network, such as "127.41.7"; `port`: the first of six used."""
+
+    def __init__(self, base: str, port: int, refuges: int = 3, bothies: int = 3, folder: str | None = None,
+                 first_run: bool = True):
+        self.base, self.port, self.own = base, port, folder is None
+        self.folder = folder or tempfile.mkdtemp(prefix="flintreach-camp-")
+        names, self.machines, self.endpoints = [*ZONES], [], []
+        for number in range(refuges + bothies):
+            role = "refuge" if number < refuges else "bothy"
+            zone = names[(number if role == "refuge" else number - refuges) % len(names)]
+            self.machines.append(Machine(f"{role}-{number}", role, f"{base}.{number + 1}", zone,
+                                         os.path.join(self.folder, f"{role}-{number}")))
+        for machine in self.machines:
+            self.settle(machine, first_run)
+
+    def of(self, role: str) -> list[Machine]:
+        return [machine for machine in self.machines if machine.role == role]
+
+    def settle(self, machine: Machine, first_run: bool) -> None:
+        """Write a machine's settings, as the platform does."""
+        at = lambda number: f"{machine.ip}:{self.port + number}"  # noqa: E731
+        refuge = machine.role == "refuge"
+        names = {"control": 0, "directory": 1} if refuge else {"front": 2, "ready": 3}
+        machine.posts = {name: at(number) for name, number in names.items()}
+        os.makedirs(os.path.join(machine.folder, "disk"), exist_ok=True)
+        told = {"sender": {"node_name": machine.name, "ip": machine.ip, "zone": machine.zone,
+                           "region": ZONES[machine.zone], "post_role": machine.role, "counted": refuge,
+                           "first_run": first_run, "serves": [*machine.posts],
+                           "store_dir": os.path.join(machine.folder, "disk") if refuge else None},
+                "network": {"posts": machine.posts, "spare_ports": [self.port + 4, self.port + 5],
+                            "seed_nodes": [f"{m.ip}:{self.port}" for m in self.of("refuge")][:3],
+                            "zones": ZONES},
+                "carrier": {"report_ms": 500}}
+        with open(os.path.join(machine.folder, "node.yaml"), "w", encoding="utf-8") as file:
+            yaml.safe_dump(told, file)
+
+    def control(self) -> list[tuple[str, int]]:
+        return [(m.ip, self.port) for m in self.of("refuge") if m.process and m.process.poll() is None]
+
+    def start(self) -> None:
+        for machine in self.machines:
+            machine.start()
+
+    def add(self, line: str, number: int, zone: str, **more) -> Endpoint:
+        endpoint = Endpoint(line, (f"{self.base}.{100 + number}", self.port), zone, self.control, **more)
+        self.endpoints.append(endpoint)
+        endpoint.start()
+        return endpoint
+
+    def people(self, desks: int = 4, stores: int = 2) -> None:
+        """Endpoints of both services, the zones in turn."""
+        names = [*ZONES]
+        for number in range(desks + stores):
+            sharded = number >= desks
+            self.add("store" if sharded else "desk", number, names[number % len(names)], sharded=sharded)
+
+    def put(self, timetable: dict, until: float) -> bool:
+        """Put a configuration at any refuge that takes it; `until`: steady seconds."""
+        from geventhttpclient import HTTPClient
+
+        while time.monotonic() < until:
+            for ip, port in self.control():
+                client = HTTPClient(ip, port, connection_timeout=0.5, network_timeout=2.0)
+                try:
+                    answer = client.post("/v1/timetable/put", json.dumps(timetable).encode())
+                    answer.read()
+                    if answer.status_code == 200:
+                        return True
+                except OSError:
+                    pass
+                finally:
+                    client.close()
+            gevent.sleep(0.05)
+        return False
+
+    def ask(self, machine: Machine, target: str, method: str = "GET", headers: dict | None = None,
+            body: bytes = b""):
+        """One request to a bothy: (status, body, headers by lower name), or None if it does not answer."""
+        from geventhttpclient import HTTPClient
+
+        host, port = machine.posts["front"].split(":")
+        client = HTTPClient(host, int(port), connection_timeout=0.5, network_timeout=5.0)
+        try:
+            told = {"Host": "camp.example", "X-Try-Id": os.urandom(8).hex(), "X-Time-Left-Ms": "3000"}
+            answer = client.request(method, target, body, {**told, **(headers or {})})
+            data = bytes(answer.read())
+            return answer.status_code, data, {name.lower(): value for name, value in answer.items()}
+        except OSError:
+            return None
+        finally:
+            client.close()
+
+    def wait(self, good, until: float) -> bool:
+        """Whether `good()` became true before a moment of the steady clock."""
+        while time.monotonic() < until:
+            if good():
+                return True
+            gevent.sleep(0.05)
+        return False
+
+    def stop(self) -> None:
+        for endpoint in self.endpoints:
+            endpoint.stop()
+        for machine in self.machines:
+            machine.end()
+        if self.own:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+
+def serve(bothies: int, refuges: int, desks: int, stores: int, port: int) -> int:
+    """Start a camp, say how to ask it, and stay until SIGINT or SIGTERM."""
+    camp, ending = Camp("127.41.7", port, refuges, bothies), gevent.event.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        gevent.signal_handler(number, ending.set)
+    try:
+        camp.start()
+        camp.people(desks, stores)
+        if not camp.put(TIMETABLE, time.monotonic() + 30):
+            print(f"flintreach: no refuge took a configuration; logs under {camp.folder}", file=sys.stderr)
+            camp.own = False
+            return 1
+        first, refuge = camp.of("bothy")[0], camp.of("refuge")[0]
+        good = lambda path, **more: (camp.ask(first, path, headers=more) or (0,))[0] == 200  # noqa: E731
+        served = camp.wait(lambda: good("/look/1") and good("/fetch/1", **{"X-Shard-Key": "7"}),
+                           time.monotonic() + 30)
+        front = first.posts["front"]
+        print(f"{refuges} refuges, {bothies} bothies, {desks + stores} endpoints; logs under {camp.folder}")
+        print(f"  curl -H 'Host: camp.example' http://{front}/look/7")
+        print(f"  curl -H 'Host: camp.example' -H 'X-Shard-Key: 7' http://{front}/fetch/7")
+        print(f"  python3 -m flintreach show status --at {refuge.ip}:{port + 4}")
+        print("ready" if served else "not all is served yet", flush=True)
+        ending.wait()
+        return 0
+    except OSError as error:
+        print(f"flintreach: {error}; another camp, perhaps: choose another --port", file=sys.stderr)
+        return 1
+    finally:
+        camp.stop()
--- /dev/null
+++ b/flintreach/standins/endpoint.py
@@ -0,0 +1,169 @@
+"""A stand-in for an endpoint of the whole system: beats, berths, a queue, keys, and a ledger of what it ran.
+
+Written from the wire's page; for tests, the base camp and benchmarks.  Its work is a wait.
+"""
+
+import itertools
+import time
+import uuid
+
+import gevent
+import msgspec
+from gevent import pywsgi
+from gevent.lock import BoundedSemaphore
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
+
+from flintreach.waymark import calls
+
+KEYS = 65536
+
+
+class Held:
+    """Keys that an endpoint holds: ranges by fence, each until a moment of the steady clock."""
+
+    def __init__(self):
+        self.ranges: list[tuple[int, int, int, float]] = []  # low, high, fence, until
+        self.seen: list[tuple[int, int, int]] = []  # low, high, highest fence
+
+    def grant(self, low: int, high: int, fence: int, hold: float, now: float) -> bool:
+        """False where a higher fence was seen on any of the keys."""
+        if any(low <= top and bottom <= high and seen > fence for bottom, top, seen in self.seen):
+            return False
+        self.seen = [row for row in self.seen if row[:2] != (low, high)] + [(low, high, fence)]
+        self.release(low, high)
+        self.ranges.append((low, high, fence, now + hold))
+        return True
+
+    def release(self, low: int, high: int) -> None:
+        """Give up a part of what is held, or all of it."""
+        kept = []
+        for bottom, top, fence, until in self.ranges:
+            if bottom > high or top < low:
+                kept.append((bottom, top, fence, until))
+                continue
+            kept += [(bottom, low - 1, fence, until)] if bottom < low else []
+            kept += [(high + 1, top, fence, until)] if top > high else []
+        self.ranges = kept
+
+    def holds(self, key: int, now: float) -> bool:
+        return any(low <= key <= high and now < until for low, high, _, until in self.ranges)
+
+
+class Endpoint:
+    """One life of an endpoint.  `control()`: addresses (ip, port) to which it may beat."""
+
+    def __init__(self, line, address, zone, control, work_s=0.05, berths=4, queue=8, sharded=False,
+                 report_s=0.5, cold_s=0.0):
+        self.id, self.line, self.zone, self.control = f"i-{uuid.uuid4().hex[:8]}", line, zone, control
+        self.address, self.work_s, self.berths, self.queue = address, work_s, berths, queue
+        self.sharded, self.report_s, self.held = sharded, report_s, Held()
+        self.cold_until = time.monotonic() + cold_s
+        self.state, self.seq, self.running, self.waiting = "ready", itertools.count(1), 0, 0
+        self.places = BoundedSemaphore(berths)
+        self.ran: dict[str, int] = {}  # id of a try -> how often it was run here
+        self.refused = 0
+        self.server = pywsgi.WSGIServer(address, self.answer, log=None, error_log=None)
+        self.beats = None
+
+    def start(self) -> None:
+        self.server.start()
+        self.beats = gevent.spawn(self.report)
+
+    def stop(self) -> None:
+        """As in a crash: nobody is told."""
+        if self.beats is not None:
+            self.beats.kill(block=False)
+        self.server.stop(timeout=0)
+
+    # What others call.
+
+    def answer(self, environ, start):
+        path, method = environ["PATH_INFO"], environ["REQUEST_METHOD"]
+        data = environ["wsgi.input"].read()
+        headers = [("X-Endpoint-Id", self.id)]
+        if method == "POST" and path in (calls.GRANT, calls.RELEASE):
+            status, more, body = self.keys(path, msgspec.json.decode(data))
+        elif method == "GET" and path == "/health":
+            status, more, body = ("200 OK" if self.state == "ready" else "503 Leaving"), [], b""
+        else:
+            status, more, body = self.work(environ)
+        load = f"{self.running},{self.waiting},{self.berths}"
+        headers += [("X-Endpoint-Load", load), ("Content-Length", str(len(body))), *more]
+        if id := environ.get("HTTP_X_TRY_ID"):
+            headers.append(("X-Try-Id", id))
+        start(status, headers)
+        return [body]
+
+    def keys(self, path, body):
+        low, high, now = body["from_edition"], body["to_edition"], time.monotonic()
+        if not 0 <= low <= high < KEYS:
+            return "400 Bad Request", [], b""
+        if path == calls.GRANT:
+            good = self.held.grant(low, high, body["fence"], body["hold_ms"] / 1000, now)
+            return ("200 OK" if good else "409 Conflict"), [], b""
+        self.held.release(low, high)
+        return "200 OK", [("X-Handover", f"{body['fence']:016x}")], b""
+
+    def work(self, environ):
+        def refused(status):
+            self.refused += 1
+            return status, [("X-Not-Delivered", "1")], b""
+
+        expected, key = environ.get("HTTP_X_EXPECT_ENDPOINT"), environ.get("HTTP_X_SHARD_KEY", "")
+        if expected not in (None, self.id):
+            return refused("421 Misdirected Request")
+        if self.sharded and not (key.isdigit() and self.held.holds(int(key), time.monotonic())):
+            return refused("421 Misdirected Request")
+        if self.waiting >= self.queue:
+            return refused("503 Service Unavailable")
+        self.waiting += 1
+        with self.places:
+            self.waiting -= 1
+            self.running += 1
+            id = environ.get("HTTP_X_TRY_ID", "")
+            self.ran[id] = self.ran.get(id, 0) + 1
+            try:
+                gevent.sleep(self.work_s)
+            finally:
+                self.running -= 1
+        body = f"{self.line} at {self.id} did {environ['REQUEST_METHOD']} {environ['PATH_INFO']}\n".encode()
+        return "200 OK", [("X-Postmark", f"{self.id}.{self.ran[id]}"), ("Content-Type", "text/plain")], body
+
+    # What it says of itself.
+
+    def tell(self, path: str, body: bytes) -> bool:
+        for ip, port in self.control():
+            client = HTTPClient(ip, port, connection_timeout=0.5, network_timeout=1.0)
+            try:
+                answer = client.post(path, body, headers={"Content-Type": "application/json"})
+                answer.read()
+                if answer.status_code == 200:
+                    return True
+            except (OSError, HTTPParseError):
+                continue
+            finally:
+                client.close()
+        return False
+
+    def beat(self) -> bool:
+        cold = max(0, int((self.cold_until - time.monotonic()) * 1000))
+        return self.tell(f"/v1/endpoints/{self.id}/check-in", msgspec.json.encode({
+            "line": self.line, "addr": f"{self.address[0]}:{self.address[1]}", "zone": self.zone,
+            "edition": "v1", "berths": self.berths, "state": self.state, "cold_left_ms": cold,
+            "call_seq": next(self.seq)}))
+
+    def report(self) -> None:
+        while True:
+            self.beat()
+            gevent.sleep(self.report_s)
+
+    def leave(self) -> None:
+        """A planned end: told, served out, signed off."""
+        self.state = "closing"
+        self.beat()
+
+    def sign_off(self) -> bool:
+        told = self.tell(f"/v1/endpoints/{self.id}/sign-off", b"")
+        self.stop()
+        return told
--- a/flintreach/waymark/desk.py
+++ b/flintreach/waymark/desk.py
@@ -105,6 +105,29 @@
         """The configuration in force, as it was put."""
         typer.echo(call(control, "GET", "/v1/timetable/get").decode())
 
+    @app.command()
+    def camp(bothies: int = 3, refuges: int = 3, desks: int = 4, stores: int = 2, port: int = 7600) -> None:
+        """The whole system on this machine's loopback, with stand-in endpoints, until it is interrupted."""
+        from flintreach.standins.camp import serve
+
+        raise typer.Exit(serve(bothies, refuges, desks, stores, port))
+
+    @app.command()
+    def state(folder: Path, as_json: bool = typer.Option(False, "--json", help="Rows as JSON.")) -> None:
+        """Look into the disk folder of a refuge that does not run; nothing there is changed."""
+        from flintreach.cairn.offline import rows
+        from flintreach.cairn.store import StoreError
+
+        try:
+            found = rows(str(folder))
+        except StoreError as error:
+            fail(2, str(error))
+        for title, table in found.items():
+            if not as_json:
+                typer.echo("\n".join([title, *(f"  {line}" for line in printed(table))]))
+        if as_json:
+            typer.echo(json.dumps(found))
+
     @app.command()
     def evacuate(zone: str, control: str = at,
                  finish: bool = typer.Option(False, "--finish", help="Take it back.")) -> None:
