--- a/flintreach/bunks/plan.py
+++ b/flintreach/bunks/plan.py
@@ -13,6 +13,7 @@
 BUCKET, FEWEST = 64, 8  # keys that are counted together; the fewest that are cut off
 BASE, CREDIBLE = 0.3, 200.0  # part of the load taken as even; requests that are believed in full
 MOST = 0.125  # of all load or keys, that changes hands at a time
+OVER, FEW = 2.0, 0.02  # times its due of keys, and a part beyond, that are given up even at rest
 SHORT, BUSY, WORTH = 0.5, 1.5, 0.04  # times its due: one short of load, one with too much; least moved
 
 
@@ -93,6 +94,9 @@
         return max(0, int((bucket + min(1.0, inside)) * BUCKET) - low)
 
 
+EVEN = Heat()
+
+
 def shares(weights: dict[str, float]) -> dict[str, float]:
     """The part of the load each endpoint is to bear."""
     total = sum(weights.values()) or 1.0
@@ -160,12 +164,22 @@
     want, held = shares(able), borne(allocation, able, heat)
     low = min(able, key=lambda id: held[id] - want[id], default=None)
     high = max(able, key=lambda id: held[id] - want[id], default=None)
+    # One that should hold far fewer keys by its weight, as where they are to lie in another region.
+    keys = borne(allocation, able, EVEN)
+    far = max(able, key=lambda id: keys[id] - OVER * want[id], default=None)
+    if far is not None and keys[far] > OVER * want[far] + FEW:
+        return move(allocation, far, min(MOST, max(keys[far] - want[far], 0.0)), EVEN)
     if low is None or held[low] > SHORT * want[low] and (held[high] < BUSY * want[high] or high not in busy):
         return False
     part = min(want[low] - held[low], held[high] - want[high], MOST)
     if part < WORTH * want[low]:
         return False
-    best = max((r for r in allocation.ranges if r.holder == high), key=lambda r: heat.part(r.low, r.high))
+    return move(allocation, high, part, heat)
+
+
+def move(allocation: Allocation, id: str, part: float, heat: Heat) -> bool:
+    """Mark such a part of all load on the largest range of an endpoint."""
+    best = max((r for r in allocation.ranges if r.holder == id), key=lambda r: heat.part(r.low, r.high))
     place, whole = allocation.ranges.index(best), heat.part(best.low, best.high)
     head, tail = heat.size(best.low, part), best.size - heat.size(best.low, whole - part)
     if min(head, tail) < FEWEST:
--- a/flintreach/bunks/warmth.py
+++ b/flintreach/bunks/warmth.py
@@ -4,14 +4,15 @@
 
 FADE, FORGOTTEN = 0.9, 0.05  # what is left of a count after a second; below which it is dropped
 FULL, EVERY = 0.6, 2  # part of an endpoint's berths from which it is busy; seconds between tellings to others
+SLOW = 0.3  # of a second's told load, in the smoothed one
 
 
 class Warmth:
-    """`keys`: service -> bucket of keys -> requests of late; `busy`: ids of endpoints with little room."""
+    """`keys`: service -> bucket of keys -> requests of late; `full`: endpoint -> told load over berths."""
 
     def __init__(self):
         self.keys: dict[str, dict[int, float]] = {}
-        self.busy: set[str] = set()
+        self.full: dict[str, float] = {}
         self.heats: dict[str, Heat] = {}
         self.turn = 0
 
@@ -28,19 +29,25 @@
                 counts = self.keys.setdefault(line, {})
                 for bucket, count in told.items():
                     counts[bucket] = counts.get(bucket, 0.0) + count
-            self.busy = {id for id, (full, count) in body["load"].items() if full >= FULL * count}
+            told = {id: full / count for id, (full, count) in body["load"].items()}
+            self.full = {id: (1 - SLOW) * self.full.get(id, full) + SLOW * full for id, full in told.items()}
         self.turn += 1
         if self.turn % EVERY or not self.keys:
             return None
         rounded = {line: {bucket: round(count, 1) for bucket, count in counts.items()}
                    for line, counts in self.keys.items()}
-        return {"keys": rounded, "busy": sorted(self.busy)}
+        return {"keys": rounded, "full": {id: round(full, 2) for id, full in self.full.items()}}
 
     def hear(self, told: dict) -> None:
         """What the refuge that has the sums tells of them."""
-        self.keys, self.busy, self.heats = told["keys"], set(told["busy"]), {}
+        self.keys, self.full, self.heats = told["keys"], told["full"], {}
 
     def of(self, line: str) -> tuple[Heat, set[str]]:
         if line not in self.heats:
             self.heats[line] = Heat(self.keys.get(line))
-        return self.heats[line], self.busy
+        return self.heats[line], {id for id, full in self.full.items() if full >= FULL}
+
+    def at_work(self, berths: dict[str, float]) -> float | None:
+        """Berths at work at some endpoints; None where none of them told of its load."""
+        told = [self.full[id] * count for id, count in berths.items() if id in self.full]
+        return sum(told) * len(berths) / len(told) if told else None
--- a/flintreach/refuge/program.py
+++ b/flintreach/refuge/program.py
@@ -10,6 +10,8 @@
 import msgspec
 from gevent.event import Event
 
+from flintreach.bunks.plan import KEYS
+from flintreach.bunks.region import Lean, bound, target
 from flintreach.bunks.warmth import Warmth
 from flintreach.cairn import circle
 from flintreach.cairn.register import Register
@@ -36,6 +38,7 @@
 ALONE_S = 1.2  # without a word from a majority, a refuge takes no beats
 TTL, ASKED = (0.5, 1.5), 300  # seconds an answer of the directory holds; answers a second of one refuge
 WAIT = 0.6, 2.5  # seconds at a first start for more disks: without a new one, and in all
+MOSTLY, STAY_S = 0.8, 0.5  # of a service's keys in one region, for its clients to be sent there
 SWEEP_S, KEYS_S, LOOK_S, PLACE_S = 2.0, 0.4, 0.25, 1.0
 
 
@@ -71,6 +74,8 @@
         self.learned: dict[str, tuple] = {}  # key -> the stamp of what was last told as news
         self.lagging: dict[str, tuple] = {}  # key -> the oldest stamp of it that the last sweep saw
         self.tally, self.warmth = Tally(), Warmth()
+        self.leans: dict[str, Lean] = {}
+        self.stays, self.stays_at = {}, 0.0  # host -> region of its clients, looked up now and then
         self.ridge = Ridge(zlib.crc32(me.node_name.encode()))
         self.servers, self.stopping = [], Event()
 
@@ -389,9 +394,42 @@
         return {zone for zone, on in (self.board.get("evac") or {}).items() if on}
 
     def able(self, line: str) -> dict[str, tuple[float, str]]:
-        away = self.away()
-        return {r.id: (float(r.berths), r.addr) for r in self.book.records.values()
-                if r.line == line and r.state == READY and r.zone not in away}
+        """Endpoints that may hold keys of a service: their weights and addresses."""
+        found, warm, region, berths = self.keyed(line)
+        busy = self.warmth.at_work({r.id: float(r.berths) for r in warm})
+        lean = self.leans.setdefault(line, Lean())
+        factors = lean.weigh(self.region_of(line)[0], berths, busy)
+        return {r.id: (r.berths * factors.get(region[r.id], 1.0) if r in warm or not warm else 0.0, r.addr)
+                for r in found}
+
+    def keyed(self, line: str):
+        """Endpoints that may hold keys, those that are warm or hold some, their regions; berths by region."""
+        away, now, zones = self.away(), time.monotonic_ns(), self.node.network.zones
+        found = [r for r in self.book.records.values()
+                 if r.line == line and r.state == READY and r.zone not in away]
+        holders = {row[2] for row in self.board.get(f"bunks/{line}") or ()}
+        # One that has just started is cold, and would get all requests on its keys at once.
+        warm = [r for r in found if r.cold_until <= now or r.id in holders]
+        region = {r.id: zones.get(r.zone, "") for r in found}
+        berths: dict[str, float] = {}
+        for r in warm:
+            berths[region[r.id]] = berths.get(region[r.id], 0.0) + r.berths
+        return found, warm, region, berths
+
+    def region_of(self, line: str) -> tuple[str | None, float]:
+        """Where the keys of a service are to lie, None where its clients come from everywhere; and which part
+        of them lies there."""
+        homes = [self.homes(host) for host, routes in self.routes.hosts.items()
+                 if any(line == name for route in routes for name, _ in route.services)]
+        if not homes or None in homes or len(set.union(*homes)) > 1:
+            return None, 0.0
+        _, _, region, berths = self.keyed(line)
+        keys: dict[str, float] = {}
+        for low, high, holder, _ in self.board.get(f"bunks/{line}") or ():
+            place = region.get(holder, "")
+            keys[place] = keys.get(place, 0.0) + (high - low + 1) / KEYS
+        found = target(set.union(*homes), keys, berths)
+        return found, keys.get(found, 0.0)
 
     def ended(self, id: str) -> bool:
         record = self.book.records.get(id)
@@ -461,12 +499,23 @@
         if done:
             self.learn("map", value)
 
-    def homes(self, name: str) -> set[str]:
-        """Regions to which all routes of a host are bound; none where one is free."""
+    def homes(self, name: str) -> set[str] | None:
+        """Home regions of a host, empty where its routes are bound to keys alone; None where one is free."""
         if self.routes is None:
-            return set()
-        bound = [set(route.homes) for route in self.routes.hosts.get(name.lower(), ())]
-        return set.intersection(*bound) if bound else set()
+            return None
+        sharded = {line for line, depot in self.routes.depots.items() if depot.sharded}
+        return bound(self.routes.hosts.get(name.lower(), ()), sharded)
+
+    def stay(self, name: str) -> str | None:
+        """The region to which clients of a host are sent; None: to their own."""
+        homes = self.homes(name)
+        if homes:
+            return sorted(homes)[0]
+        if homes is None:
+            return None
+        lines = {line for route in self.routes.hosts.get(name.lower(), ()) for line, _ in route.services}
+        found = {region for region, part in map(self.region_of, lines) if part >= MOSTLY}
+        return found.pop() if len(found) == 1 else None
 
     def valid(self, now: float) -> float:
         """How long an answer of the directory holds: so short that clients soon leave a front without power,
@@ -478,10 +527,15 @@
         return min(self.ttl, self.node.bounds.ttl_max_s)
 
     def directions(self, name: str, region: str, zone: str) -> list[str]:
-        homes = self.homes(name)
-        if homes and region not in homes:
-            # Its requests end there anyway: a front of the home brings them on without another long way.
-            region, zone = sorted(homes)[0], ""
+        now = time.monotonic()
+        if now - self.stays_at > STAY_S:
+            self.stays, self.stays_at = {}, now
+        if name not in self.stays:
+            self.stays[name] = self.stay(name)
+        stay = self.stays[name]
+        if stay is not None and region != stay and region not in (self.homes(name) or ()):
+            # Its requests end there anyway: a front of that region brings them on without another long way.
+            region, zone = stay, ""
         fronts = [m for m in self.lookout.roster.alive("bothy") if m.ready and m.state == ALIVE]
         own = [m for m in fronts if m.zone == zone]
         for near in (own, [m for m in fronts if m.region == region], fronts):
--- a/tests/test_system_keys.py
+++ b/tests/test_system_keys.py
@@ -6,9 +6,10 @@
 
 import random
 import unittest
+from types import SimpleNamespace
 from unittest import mock
 
-from flintreach.bunks import keeping, plan
+from flintreach.bunks import keeping, plan, region
 from flintreach.bunks.keeping import GRANT, NET, Keeping
 from flintreach.bunks.plan import KEYS, Allocation, Heat
 from flintreach.bunks.warmth import Warmth
@@ -211,7 +212,53 @@
             told = here.take({"keys": {"s": {5: 40}}, "load": {"e1": [1.8, 2], "e2": [0.4, 2]}}) or told
         there.hear(told)
         self.assertEqual(there.of("s")[1], {"e1"})
+        self.assertAlmostEqual(there.at_work({"e1": 2.0, "e2": 2.0, "e3": 2.0}), 3.3, 1)
         self.assertGreater(there.of("s")[0].part(320, 383), 0.5)
         for _ in range(120):
             here.take(None)
         self.assertEqual(here.keys["s"], {})
+
+
+class Regions(unittest.TestCase):
+    def route(self, line, homes=()):
+        return SimpleNamespace(homes=homes, services=[(line, 1.0)])
+
+    def test_hosts_whose_routes_are_bound_to_keys_or_homes_may_be_sent_to_one_region(self):
+        keyed, free, home = self.route("k"), self.route("d"), self.route("d", ("n",))
+        for routes, found in (([keyed], set()), ([keyed, home], {"n"}), ([home], {"n"}),
+                              ([keyed, free], None), ([], None), ([home, self.route("d", ("s",))], None)):
+            self.assertEqual(region.bound(routes, {"k"}), found)
+
+    def test_keys_stay_where_they_are_unless_homes_say_otherwise(self):
+        berths = {"n": 8.0, "s": 8.0}
+        self.assertEqual(region.target(set(), {"n": 0.4, "s": 0.6}, berths), "s")
+        self.assertEqual(region.target({"n"}, {"n": 0.4, "s": 0.6}, berths), "n")
+        self.assertIsNone(region.target(None, {}, berths))
+        self.assertIsNone(region.target({"x"}, {}, berths))
+
+    def test_no_more_keys_lie_in_a_region_than_its_endpoints_bear(self):
+        berths, lean = {"n": 8.0, "s": 8.0}, region.Lean()
+        self.assertEqual(lean.weigh("n", berths, None), {"n": 1.0, "s": 1.0})
+        for busy, most, least in ((1.8, 1.0, 1.0), (4.8, 0.8, 0.7), (16.0, 0.56, 0.44), (1.0, 1.0, 1.0)):
+            for _ in range(60):
+                factors = lean.weigh("n", berths, busy)
+            share = 8 * factors["n"] / (8 * factors["n"] + 8 * factors["s"])
+            self.assertTrue(least <= share <= most, (busy, share))
+        self.assertEqual(lean.weigh(None, berths, 1.0), {"n": 1.0, "s": 1.0})
+        self.assertEqual(lean.weigh("n", {"s": 8.0}, 1.0), {"s": 1.0})
+
+    def test_keys_move_to_the_region_a_part_at_a_time_and_stay(self):
+        allocation, able = Allocation.of(None), {f"{z}{i}": 1.0 for z in "ns" for i in range(4)}
+        addrs = {id: f"{id}:80" for id in able}
+        plan.fill(allocation, able, addrs, EVEN)
+        weights, moves = {id: float(id[0] == "n") for id in able}, 0
+        while plan.spread(allocation, weights, EVEN, set()):
+            for r in allocation.ranges:
+                if r.state == plan.LEAVING:
+                    r.state, r.holder = plan.FREE, ""
+            plan.fill(allocation, weights, addrs, EVEN)
+            moves += 1
+            self.assertLess(moves, 20)
+        keys = plan.borne(allocation, able, EVEN)
+        self.assertAlmostEqual(sum(keys[id] for id in able if id[0] == "n"), 1.0)
+        self.assertLess(max(keys.values()), 0.36)
