One region for keys and clients only where its fronts' links carry the answers

Need: on the grown sites fronts have links of 2 to 2.6 Mbit/s and downloads fill them already; all of them through one region's fronts would double that. Fronts tell the bytes of answers of sharded services upward and their link with their membership; a service's answers may take up 15% of a region's links.

--- a/flintreach/bothy/carry.py
+++ b/flintreach/bothy/carry.py
@@ -230,6 +230,8 @@
                 self.tally.told(hut.id, (int(load[0]) + int(load[1])) / hut.berths)
         if outcome.kind == ANSWERED:
             hut.well()
+            if self.world.sharded(line):
+                self.tally.answer(line, len(message.body))
             self.work[line] = (7 * self.work.get(line, took) + took) // 8
         elif outcome.kind == NOT_RUN:
             if message.status == 421:
--- a/flintreach/bothy/program.py
+++ b/flintreach/bothy/program.py
@@ -39,7 +39,7 @@
         self.counts: dict[str, int] = {}
         self.tally = Tally()
         self.carrier = Carrier(self.world, node.bounds, self.counts, self.tally)
-        posts = {"front": node.network.posts["front"]}
+        posts = {"front": node.network.posts["front"], "mbps": str(me.limits.link_mbps)}
         member = Member(me.node_name, ROLE, *address, me.zone, me.region, posts, me.counted, False,
                         int(time.time() * 1000))
         self.lookout = Lookout(member, lambda: [(ip, node.inner(REFUGE_POST)[1]) for ip in self.node.seeds()])
--- a/flintreach/bunks/region.py
+++ b/flintreach/bunks/region.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 
+LINK = 0.15  # of the links of a region's fronts that the answers of one service may take up
 ROOM = 0.45  # of a region's berths that the load may take up if all keys lie there
 STEP, SLOW = 0.2, 0.2  # least change of the share that is worth moving keys; of a new figure, per second
 
@@ -25,6 +26,14 @@
     return set.intersection(*found) or None
 
 
+def carried(size: float | None, links: list[float]) -> bool:
+    """Whether a region's fronts can take a service's answers: `size` bytes a second, None where that is not
+    known yet; each passes a front twice.  `links`: in Mbit/s, 0 where the settings tell none."""
+    if size is None or not links:
+        return False
+    return 0.0 in links or 2 * size * 8 / 1e6 <= LINK * sum(links)
+
+
 def target(homes: set[str] | None, keys: dict[str, float], berths: dict[str, float]) -> str | None:
     """The region for a service's keys; None where its clients come from everywhere.
 
--- a/flintreach/bunks/warmth.py
+++ b/flintreach/bunks/warmth.py
@@ -8,11 +8,13 @@
 
 
 class Warmth:
-    """`keys`: service -> bucket of keys -> requests of late; `full`: endpoint -> told load over berths."""
+    """`keys`: service -> bucket of keys -> requests of late; `full`: endpoint -> told load over berths;
+    `bytes`: service -> bytes of answers a second."""
 
     def __init__(self):
         self.keys: dict[str, dict[int, float]] = {}
         self.full: dict[str, float] = {}
+        self.bytes: dict[str, float] = {}
         self.heats: dict[str, Heat] = {}
         self.turn = 0
 
@@ -29,6 +31,8 @@
                 counts = self.keys.setdefault(line, {})
                 for bucket, count in told.items():
                     counts[bucket] = counts.get(bucket, 0.0) + count
+            for line, size in body["bytes"].items():
+                self.bytes[line] = (1 - SLOW) * self.bytes.get(line, size) + SLOW * size
             told = {id: full / count for id, (full, count) in body["load"].items()}
             self.full = {id: (1 - SLOW) * self.full.get(id, full) + SLOW * full for id, full in told.items()}
         self.turn += 1
@@ -36,11 +40,12 @@
             return None
         rounded = {line: {bucket: round(count, 1) for bucket, count in counts.items()}
                    for line, counts in self.keys.items()}
-        return {"keys": rounded, "full": {id: round(full, 2) for id, full in self.full.items()}}
+        return {"keys": rounded, "full": {id: round(full, 2) for id, full in self.full.items()},
+                "bytes": {line: int(size) for line, size in self.bytes.items()}}
 
     def hear(self, told: dict) -> None:
         """What the refuge that has the sums tells of them."""
-        self.keys, self.full, self.heats = told["keys"], told["full"], {}
+        self.keys, self.full, self.bytes, self.heats = told["keys"], told["full"], told["bytes"], {}
 
     def of(self, line: str) -> tuple[Heat, set[str]]:
         if line not in self.heats:
--- a/flintreach/refuge/program.py
+++ b/flintreach/refuge/program.py
@@ -11,7 +11,7 @@
 from gevent.event import Event
 
 from flintreach.bunks.plan import KEYS
-from flintreach.bunks.region import Lean, bound, target
+from flintreach.bunks.region import Lean, bound, carried, target
 from flintreach.bunks.warmth import Warmth
 from flintreach.cairn import circle
 from flintreach.cairn.register import Register
@@ -429,6 +429,10 @@
             place = region.get(holder, "")
             keys[place] = keys.get(place, 0.0) + (high - low + 1) / KEYS
         found = target(set.union(*homes), keys, berths)
+        links = [float(m.posts.get("mbps", 0)) for m in self.lookout.roster.alive("bothy")
+                 if m.region == found and m.ready]
+        if not carried(self.warmth.bytes.get(line), links):
+            return None, 0.0
         return found, keys.get(found, 0.0)
 
     def ended(self, id: str) -> bool:
@@ -508,12 +512,12 @@
 
     def stay(self, name: str) -> str | None:
         """The region to which clients of a host are sent; None: to their own."""
-        homes = self.homes(name)
-        if homes:
+        homes, routes = self.homes(name), self.routes.hosts.get(name.lower(), ()) if self.routes else ()
+        if homes and all(route.homes for route in routes):
             return sorted(homes)[0]
         if homes is None:
             return None
-        lines = {line for route in self.routes.hosts.get(name.lower(), ()) for line, _ in route.services}
+        lines = {line for route in routes if not route.homes for line, _ in route.services}
         found = {region for region, part in map(self.region_of, lines) if part >= MOSTLY}
         return found.pop() if len(found) == 1 else None
 
--- a/flintreach/waymark/settings.py
+++ b/flintreach/waymark/settings.py
@@ -32,6 +32,7 @@
     memory_mb: float = 0
     file_handles: int = 1024
     disk_mb: float = 0
+    link_mbps: float = 0
 
 
 class Sender(msgspec.Struct, frozen=True):
--- a/tests/test_system_keys.py
+++ b/tests/test_system_keys.py
@@ -209,7 +209,8 @@
         here, there = Warmth(), Warmth()
         told = None
         for _ in range(10):
-            told = here.take({"keys": {"s": {5: 40}}, "load": {"e1": [1.8, 2], "e2": [0.4, 2]}}) or told
+            told = here.take({"keys": {"s": {5: 40}}, "bytes": {"s": 9},
+                              "load": {"e1": [1.8, 2], "e2": [0.4, 2]}}) or told
         there.hear(told)
         self.assertEqual(there.of("s")[1], {"e1"})
         self.assertAlmostEqual(there.at_work({"e1": 2.0, "e2": 2.0, "e3": 2.0}), 3.3, 1)
@@ -236,6 +237,13 @@
         self.assertIsNone(region.target(None, {}, berths))
         self.assertIsNone(region.target({"x"}, {}, berths))
 
+    def test_thin_links_are_not_asked_to_carry_what_two_regions_would(self):
+        self.assertTrue(region.carried(1.3e6, [1000.0] * 6))
+        self.assertFalse(region.carried(6.2e6, [2.6] * 33))
+        self.assertFalse(region.carried(None, [1000.0]), "nothing is known yet")
+        self.assertFalse(region.carried(1.0, []))
+        self.assertTrue(region.carried(1e9, [0.0, 0.0]), "the settings tell no link")
+
     def test_no_more_keys_lie_in_a_region_than_its_endpoints_bear(self):
         berths, lean = {"n": 8.0, "s": 8.0}, region.Lean()
         self.assertEqual(lean.weigh("n", berths, None), {"n": 1.0, "s": 1.0})
--- a/tests/test_system_parts.py
+++ b/tests/test_system_parts.py
@@ -311,11 +311,13 @@
         top, low = Tally(), Tally()
         low.request("s")
         low.key("k", 7)
+        low.answer("k", 900)
         top.key("k", 7, 2)
         low.told("e", 0.5)
         top.request("s")
         top.add(low.take())
-        self.assertEqual(top.take(), {"came": {"s": 2}, "keys": {"k": {7: 3}}, "load": {"e": [0.5, 1]}})
+        self.assertEqual(top.take(), {"came": {"s": 2}, "keys": {"k": {7: 3}}, "bytes": {"k": 900},
+                                      "load": {"e": [0.5, 1]}})
         self.assertIsNone(top.take())
 
 
