Large answers take turns on a thin link: no more under way than it brings in half a second

A front's link brings three downloads a second; bursts of five or six stand before everything else. Downloads wait in turn, half of their aim at the most, then they get 503 with a time to come back.

--- a/flintreach/bothy/carry.py
+++ b/flintreach/bothy/carry.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 import gevent
+from gevent.event import Event
 from gevent.queue import Empty, SimpleQueue
 
 from flintreach.bothy.choice import (
@@ -19,6 +20,7 @@
     patience,
 )
 from flintreach.bothy.endpoint import ANSWERED, BROKEN, IDLE, NOT_RUN, UNSENT, Outcome, exchange
+from flintreach.bothy.gate import WAIT, Gate
 from flintreach.bothy.world import World, slice_of
 from flintreach.bunks.plan import BUCKET, KEYS
 from flintreach.trail.tally import Tally
@@ -62,9 +64,10 @@
 
 
 class Carrier:
-    def __init__(self, world: World, bounds, counts: dict[str, int], tally: Tally):
+    def __init__(self, world: World, bounds, counts: dict[str, int], tally: Tally, mbps: float = 0.0):
         self.world, self.bounds, self.counts, self.tally = world, bounds, counts, tally
         self.budgets: dict[str, Budget] = {}
+        self.gate = Gate(mbps)
         self.work: dict[str, int] = {}  # service -> how long its requests take, smoothed
 
     def count(self, name: str) -> None:
@@ -122,7 +125,19 @@
         key = int(told) if told.isascii() and told.isdigit() and int(told) < KEYS else None
         if key is not None and self.world.sharded(line):
             self.tally.key(line, key // BUCKET)
-        return self.tries(request, route, line, key, until, budget)
+        size = self.gate.size(route.name, route.kind == "outbound_post")
+        if not size:
+            return self.tries(request, route, line, key, until, budget)
+        turn = Event()
+        wake = turn.set
+        if not self.gate.enter(size, wake) and not turn.wait(min(WAIT * route.aim, until - now) / SECOND):
+            if self.gate.give_up(wake):
+                self.count("no turn")
+                return own(503, PAUSE)
+        try:
+            return self.tries(request, route, line, key, until, budget)
+        finally:
+            self.gate.leave(size)
 
     def tries(self, request, route, line, key, until, budget) -> Answer:
         world, tried, sent, dials, status = self.world, set(), 0, 0, 503
@@ -151,6 +166,7 @@
             else:
                 outcome = self.attempt(request, line, hut, until)
             if outcome.kind == ANSWERED:
+                self.gate.saw(route.name, len(outcome.message.body))
                 return self.passed(outcome.message, request)
             self.count(outcome.kind)
             sent, dials = sent + (outcome.kind != UNSENT), dials + (outcome.kind == UNSENT)
--- a/flintreach/bothy/program.py
+++ b/flintreach/bothy/program.py
@@ -38,7 +38,8 @@
         self.world = World(self.board, self.here, node.network.zones, time.monotonic_ns, node.bounds)
         self.counts: dict[str, int] = {}
         self.tally = Tally()
-        self.carrier = Carrier(self.world, node.bounds, self.counts, self.tally)
+        self.carrier = Carrier(self.world, node.bounds, self.counts, self.tally,
+                               me.limits.link_mbps)
         posts = {"front": node.network.posts["front"], "mbps": str(me.limits.link_mbps)}
         member = Member(me.node_name, ROLE, *address, me.zone, me.region, posts, me.counted, False,
                         int(time.time() * 1000))
--- a/tests/test_system_carrying.py
+++ b/tests/test_system_carrying.py
@@ -1,5 +1,6 @@
 """The carrying path with scripted endpoints: what is sent again, beside, or not at all; no sockets."""
 
+import random
 import time
 import unittest
 from types import SimpleNamespace
@@ -12,6 +13,7 @@
 from flintreach.bothy.carry import Carrier, Request
 from flintreach.bothy.choice import SECOND, Here
 from flintreach.bothy.endpoint import ANSWERED, BROKEN, NOT_RUN, TIMEOUT, UNSENT, Outcome, Wire, exchange
+from flintreach.bothy.gate import FIRST, Gate
 from flintreach.bothy.reply import Message
 from flintreach.bothy.world import World
 from flintreach.refuge.program import TTL, Refuge
@@ -119,6 +121,46 @@
         self.assertEqual((job.get(timeout=20).status, len(carrier.sent)), (502, 1))
 
 
+class Turns(unittest.TestCase):
+    def test_large_answers_wait_in_turn_and_never_hold_more_than_the_link_brings(self):
+        draw, gate, woken, inside, waiting = random.Random(4), Gate(2.6), [], [], []
+        for line in ("big", "small"):
+            gate.saw(line, {"big": 90000, "small": 1500}[line])
+        self.assertEqual(gate.size("small", False), 0)
+        for number in range(2000):
+            if draw.random() < 0.55:
+                size, wake = gate.size("big", True), (lambda number=number: woken.append(number))
+                if gate.enter(size, wake):
+                    inside.append(size)
+                else:
+                    waiting.append((number, size, wake))
+            elif inside and draw.random() < 0.8:
+                gate.leave(inside.pop())
+            elif waiting and draw.random() < 0.3:
+                number, size, wake = waiting.pop(draw.randrange(len(waiting)))
+                self.assertTrue(gate.give_up(wake))
+            while woken:
+                first = waiting.pop(0)
+                self.assertEqual(first[0], woken.pop(0))
+                inside.append(first[1])
+            self.assertEqual(gate.under, sum(inside))
+            self.assertTrue(gate.under <= gate.room or len(inside) == 1)
+        self.assertFalse(gate.give_up(lambda: None))
+
+    def test_a_wide_link_or_none_told_needs_no_turns(self):
+        self.assertEqual(Gate(0).size("big", True), 0)
+        wide = Gate(1000.0)
+        self.assertTrue(all(wide.enter(wide.size("big", True), None) for _ in range(200)))
+
+    def test_one_that_gets_no_turn_is_sent_away_with_a_time_to_come_back(self):
+        made, _, _ = world(configured("outbound_post"), {"e0": "n"})
+        carrier = Carrier(made, Bounds(), {}, Tally(), mbps=0.01)
+        self.assertTrue(carrier.gate.enter(FIRST, None))  # the link is taken
+        answer = carrier.carry(Request("GET", "/x/1", [], low={"host": "a"}, came=time.monotonic_ns()))
+        self.assertEqual((answer.status, answer.headers), (503, [("Retry-After", "0.1")]))
+        self.assertFalse(carrier.gate.queue)
+
+
 class Known(unittest.TestCase):
     def able(self, made, key=None):
         route = made.routes.all[0]
