--- a/flintreach/bothy/gate.py
+++ b/flintreach/bothy/gate.py
@@ -19,7 +19,7 @@
         self.sizes: dict[str, int] = {}  # route -> usual size of its answers
 
     def size(self, route: str, bulky: bool) -> int:
-        """Bytes that an answer is expected to have, 0 where it needs no turn; `bulky`: by the route's kind."""
+        """Bytes that an answer is expected to have, 0 where it needs no turn; `bulky`: by its kind."""
         usual = self.sizes.get(route, FIRST if bulky else 0)
         return usual if self.room and usual >= LARGE else 0
 
