--- a/flintreach/standins/camp.py
+++ b/flintreach/standins/camp.py
@@ -17,8 +17,9 @@
 import gevent
 import gevent.event
 import yaml
+from geventhttpclient import HTTPClient
 
-from flintreach.standins.endpoint import Endpoint
+from flintreach.standins.endpoint import Endpoint, told
 
 ZONES = {"north-a": "north", "north-b": "north", "south-a": "south"}
 TIMETABLE = {
@@ -84,7 +85,7 @@
         names = {"control": 0, "directory": 1} if refuge else {"front": 2, "ready": 3}
         machine.posts = {name: at(number) for name, number in names.items()}
         os.makedirs(os.path.join(machine.folder, "disk"), exist_ok=True)
-        told = {"sender": {"node_name": machine.name, "ip": machine.ip, "zone": machine.zone,
+        node = {"sender": {"node_name": machine.name, "ip": machine.ip, "zone": machine.zone,
                            "region": ZONES[machine.zone], "post_role": machine.role, "counted": refuge,
                            "first_run": first_run, "serves": [*machine.posts],
                            "store_dir": os.path.join(machine.folder, "disk") if refuge else None},
@@ -93,7 +94,7 @@
                             "zones": ZONES},
                 "carrier": {"report_ms": 500}}
         with open(os.path.join(machine.folder, "node.yaml"), "w", encoding="utf-8") as file:
-            yaml.safe_dump(told, file)
+            yaml.safe_dump(node, file)
 
     def control(self) -> list[tuple[str, int]]:
         return [(m.ip, self.port) for m in self.of("refuge") if m.process and m.process.poll() is None]
@@ -117,33 +118,18 @@
 
     def put(self, timetable: dict, until: float) -> bool:
         """Put a configuration at any refuge that takes it; `until`: steady seconds."""
-        from geventhttpclient import HTTPClient
-
-        while time.monotonic() < until:
-            for ip, port in self.control():
-                client = HTTPClient(ip, port, connection_timeout=0.5, network_timeout=2.0)
-                try:
-                    answer = client.post("/v1/timetable/put", json.dumps(timetable).encode())
-                    answer.read()
-                    if answer.status_code == 200:
-                        return True
-                except OSError:
-                    pass
-                finally:
-                    client.close()
-            gevent.sleep(0.05)
-        return False
+        body = json.dumps(timetable).encode()
+        return self.wait(lambda: any(told(ip, port, "/v1/timetable/put", body, 2.0)
+                                     for ip, port in self.control()), until)
 
     def ask(self, machine: Machine, target: str, method: str = "GET", headers: dict | None = None,
             body: bytes = b""):
         """One request to a bothy: (status, body, headers by lower name), or None if it does not answer."""
-        from geventhttpclient import HTTPClient
-
         host, port = machine.posts["front"].split(":")
         client = HTTPClient(host, int(port), connection_timeout=0.5, network_timeout=5.0)
         try:
-            told = {"Host": "camp.example", "X-Try-Id": os.urandom(8).hex(), "X-Time-Left-Ms": "3000"}
-            answer = client.request(method, target, body, {**told, **(headers or {})})
+            sent = {"Host": "camp.example", "X-Try-Id": os.urandom(8).hex(), "X-Time-Left-Ms": "3000"}
+            answer = client.request(method, target, body, {**sent, **(headers or {})})
             data = bytes(answer.read())
             return answer.status_code, data, {name.lower(): value for name, value in answer.items()}
         except OSError:
--- a/flintreach/standins/endpoint.py
+++ b/flintreach/standins/endpoint.py
@@ -14,9 +14,21 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 
+from flintreach.bunks.plan import KEYS
 from flintreach.waymark import calls
 
-KEYS = 65536
+
+def told(ip: str, port: int, path: str, body: bytes, timeout: float = 1.0) -> bool:
+    """Whether a refuge acknowledged one call."""
+    client = HTTPClient(ip, port, connection_timeout=0.5, network_timeout=timeout)
+    try:
+        answer = client.post(path, body, headers={"Content-Type": "application/json"})
+        answer.read()
+        return answer.status_code == 200
+    except (OSError, HTTPParseError):
+        return False
+    finally:
+        client.close()
 
 
 class Held:
@@ -133,18 +145,7 @@
     # What it says of itself.
 
     def tell(self, path: str, body: bytes) -> bool:
-        for ip, port in self.control():
-            client = HTTPClient(ip, port, connection_timeout=0.5, network_timeout=1.0)
-            try:
-                answer = client.post(path, body, headers={"Content-Type": "application/json"})
-                answer.read()
-                if answer.status_code == 200:
-                    return True
-            except (OSError, HTTPParseError):
-                continue
-            finally:
-                client.close()
-        return False
+        return any(told(ip, port, path, body) for ip, port in self.control())
 
     def beat(self) -> bool:
         cold = max(0, int((self.cold_until - time.monotonic()) * 1000))
