--- a/flintreach/bunks/region.py
+++ b/flintreach/bunks/region.py
@@ -10,7 +10,7 @@
 
 LINK = 0.15  # of the links of a region's fronts that the answers of one service may take up
 ROOM = 0.45  # of a region's berths that the load may take up if all keys lie there
-STEP, SLOW = 0.2, 0.2  # least change of the share that is worth moving keys; of a new figure, per second
+STEP, SLOW = 0.2, 0.2  # least change of the share that is worth moving keys; of a new figure, at each turn
 
 
 def bound(routes, sharded: set[str]) -> set[str] | None:
@@ -55,8 +55,8 @@
     busy: float = 0.0  # berths at work, smoothed
 
     def weigh(self, region: str | None, berths: dict[str, float], busy: float | None) -> dict[str, float]:
-        """Factors for the weights of each region's endpoints, taken once a second; `busy`: berths at work in
-        all regions, None where nothing was told."""
+        """Factors for the weights of each region's endpoints, at each turn of the keeper; `busy`: berths at
+        work in all regions, None where nothing was told."""
         if busy is not None:
             self.busy = (1 - SLOW) * self.busy + SLOW * busy if self.share is not None else busy
         total = sum(berths.values())
