The control plane leaves its sockets: decisions take clock, waits and links from a host

Change: refuge/plane.py assembles endpoints, orders, care, mesh and placing, each a module, from a host, a bundle of links, a store and a roster; program.py keeps sockets and signals. Register, relay, bundle and keeper read time, sleep, spawn and dial by the host alone. Decisions are unchanged.

--- a/flintreach/cairn/register.py
+++ b/flintreach/cairn/register.py
@@ -3,12 +3,7 @@
 Without a disk of its own (or outside the group of disks) a process only writes and reads.
 """
 
-import random
-import time
-
-import gevent
 import msgspec
-from gevent.lock import RLock
 
 from flintreach.cairn.acceptor import Acceptor, Slot
 from flintreach.cairn.proposer import Change, Step
@@ -30,12 +25,12 @@
     """`group`: addresses of the processes whose disks vote, the same at each; empty until it is known."""
 
     def __init__(self, bundle: Bundle, group: list[tuple[str, int]], store: Store | None):
-        self.bundle, self.group, self.store = bundle, group, store
+        self.bundle, self.host, self.group, self.store = bundle, bundle.host, group, store
         self.me = f"{bundle.address[0]}:{bundle.address[1]}"
         self.acceptor = Acceptor(store.life, store.voting, store.slots) if store else None
         self.rounds: dict[str, int] = {}
         self.lives: dict[str, str] = {}  # address -> the disk that last promised there
-        self.locks: dict[str, RLock] = {}
+        self.locks: dict = {}
         self.refused = 0  # writes that the disk did not take
         bundle.handlers |= {"prepare": self.on_prepare, "accept": self.on_accept, "slots": self.on_slots}
 
@@ -45,8 +40,8 @@
 
     # This disk.
 
-    def guarded(self, key: str) -> RLock:
-        return self.locks.setdefault(key, RLock())
+    def guarded(self, key: str):
+        return self.locks.setdefault(key, self.host.lock())
 
     def keep(self, key: str, word: str, fresh: Slot | None) -> str:
         if word not in ("promise", "accepted"):
@@ -103,19 +98,19 @@
         Not known means that the change may or may not stand.
         """
         group = self.group if group is None else group
-        until = time.monotonic() + timeout
-        while (left := until - time.monotonic()) > 0:
+        until = self.host.now() + timeout
+        while (left := until - self.host.now()) > 0:
             self.rounds[key] = self.rounds.get(key, 0) + 1
             change = Change(len(group), (self.rounds[key], self.me), step)
             self.attempt(change, key, min(left, 1.0), group)
             if change.state == "done":
                 return True, change.value
             self.rounds[key] = max(self.rounds[key], change.ahead)
-            gevent.sleep(random.uniform(0.005, 0.05) if change.state == "lost" else 0.05)
+            self.host.sleep(self.host.chance.uniform(0.005, 0.05) if change.state == "lost" else 0.05)
         return False, None
 
     def attempt(self, change: Change, key: str, timeout: float, group: list) -> None:
-        until = time.monotonic() + timeout
+        until = self.host.now() + timeout
 
         def heard(answers):
             while len(answers) > heard.seen:
@@ -140,7 +135,7 @@
         heard.seen = taken.seen = 0
         self.bundle.gather(group, "prepare", [key, list(change.ballot)], heard, timeout)
         # A process that slept must not tell others to accept what its caller has given up on.
-        if change.state != "accept" or time.monotonic() > until:
+        if change.state != "accept" or self.host.now() > until:
             return
         # Those whose promise came too late are told as well, lest they lag for the sweep to find.
         self.lives |= change.lives
@@ -149,7 +144,7 @@
         group = [address for address in group if f"{address}" in lives]
         body = [key, list(change.ballot), change.value]
         self.bundle.gather(group, "accept", lambda address: [*body, lives[f"{address}"]], taken,
-                           max(0.05, until - time.monotonic()))
+                           max(0.05, until - self.host.now()))
 
     def read(self, key: str, timeout: float = 2.0) -> tuple[bool, bytes | None]:
         """What stands, by a majority; old copies are mended on the way."""
--- a/flintreach/refuge/control.py
+++ b/flintreach/refuge/control.py
@@ -1,7 +1,5 @@
 """What endpoints, the operator and clients call: one table of calls, answered as WSGI by gevent's server."""
 
-import time
-
 import gevent
 import msgspec
 from gevent import pywsgi
@@ -17,10 +15,10 @@
 
 
 class Control:
-    """`refuge` holds the state; each call of the table has a method here: (segments, environ) -> answer."""
+    """`plane` holds the state; each call of the table has a method here: (segments, environ) -> answer."""
 
-    def __init__(self, refuge, names: set[str]):
-        self.refuge, self.names = refuge, names
+    def __init__(self, plane, names: set[str]):
+        self.plane, self.names = plane, names
 
     def __call__(self, environ, start):
         name, segments = calls.find(environ["REQUEST_METHOD"], environ["PATH_INFO"])
@@ -43,35 +41,36 @@
 
     def beat(self, segments, environ):
         beat = msgspec.json.decode(self.body(environ), type=Beat)
-        return (200, {}) if self.refuge.beat(segments[0], beat) else (503, LATE)
+        return (200, {}) if self.plane.endpoints.beat(segments[0], beat) else (503, LATE)
 
     def leave(self, segments, environ):
-        return (200, {}) if self.refuge.leave(segments[0]) else (503, LATE)
+        return (200, {}) if self.plane.endpoints.leave(segments[0]) else (503, LATE)
 
     def put(self, segments, environ):
         body = self.body(environ)
         table = check(body)
-        return (200, {}) if self.refuge.put(table.number, body) else (503, LATE)
+        return (200, {}) if self.plane.orders.put(table.number, body) else (503, LATE)
 
     def get(self, segments, environ):
-        done, value = self.refuge.get()
+        done, value = self.plane.orders.get()
         if not done:
             return 503, LATE
         return (404, {"fault": "no configuration yet"}) if value is None else (200, value)
 
     def evacuate(self, segments, environ):
-        return (200, {}) if self.refuge.evacuate(segments[0], True) else (503, LATE)
+        return (200, {}) if self.plane.orders.evacuate(segments[0], True) else (503, LATE)
 
     def resume(self, segments, environ):
-        return (200, {}) if self.refuge.evacuate(segments[0], False) else (503, LATE)
+        return (200, {}) if self.plane.orders.evacuate(segments[0], False) else (503, LATE)
 
     def resolve(self, segments, environ):
         asked = dict(pair.partition("=")[::2] for pair in environ["QUERY_STRING"].split("&"))
-        addrs = self.refuge.directions(asked.get("name", ""), asked.get("region", ""), asked.get("zone", ""))
+        placing = self.plane.placing
+        addrs = placing.directions(asked.get("name", ""), asked.get("region", ""), asked.get("zone", ""))
         if not addrs:
             return 503, {"fault": "nobody is ready"}
-        return 200, {"post_addrs": addrs, "valid_s": round(self.refuge.valid(time.monotonic()), 2)}
+        return 200, {"post_addrs": addrs, "valid_s": round(placing.valid(self.plane.host.now()), 2)}
 
 
-def listen(address: tuple[str, int], refuge, names: set[str]) -> pywsgi.WSGIServer:
-    return pywsgi.WSGIServer(address, Control(refuge, names), log=None, error_log=None, backlog=256)
+def listen(address: tuple[str, int], plane, names: set[str]) -> pywsgi.WSGIServer:
+    return pywsgi.WSGIServer(address, Control(plane, names), log=None, error_log=None, backlog=256)
--- a/flintreach/refuge/keys.py
+++ b/flintreach/refuge/keys.py
@@ -1,7 +1,5 @@
 """Keys handed out to the endpoints of sharded services: the loop that acts on `bunks.keeping`."""
 
-import time
-
 import gevent
 import msgspec
 from geventhttpclient import HTTPClient
@@ -32,12 +30,13 @@
 
     def __init__(self, name, service, register, hold_cap_ms, able, ended, tell, heat):
         self.key, self.register, self.service = f"bunks/{service}", register, service
+        self.host = register.host
         self.able, self.ended, self.tell, self.heat = able, ended, tell, heat
         self.state, self.told, self.soon = Keeping(name, hold_cap_ms / 1000), None, False
 
     def tick(self) -> None:
         stands = self.register.acceptor and self.register.acceptor.slots.get(self.key)
-        began = time.monotonic()
+        began = self.host.now()
         if not self.state.due(allocation(stands.value if stands else None), began):
             return
         able, (heat, busy), ours, self.soon = self.able(), self.heat(), [], False
@@ -52,21 +51,21 @@
             self.state.lost()
             return
         held = allocation(value)
-        if self.state.stands(held, began, time.monotonic()):
+        if self.state.stands(held, began, self.host.now()):
             say("keeper", service=self.service, epoch=held.epoch)
         rows = [[r.low, r.high, r.holder, r.state] for r in held.ranges if r.holder]
         if rows != self.told:
             self.told = rows
             self.tell([held.epoch, held.beat], rows)
-        for kind, r in self.state.calls(time.monotonic()):
-            gevent.spawn(self.call, kind, r)
+        for kind, r in self.state.calls(self.host.now()):
+            self.host.spawn(self.call, kind, r)
 
     def call(self, kind: str, r) -> None:
         status, handover = 0, ""
         try:
             status, handover = self.exchange(kind, r)
         finally:
-            self.soon |= self.state.answered(kind, r, status, handover or "", time.monotonic())
+            self.soon |= self.state.answered(kind, r, status, handover or "", self.host.now())
 
     def exchange(self, kind: str, r) -> tuple[int | None, str | None]:
         """(status, handover); status 0 where no answer came, None where the call was too late to be sent."""
@@ -79,7 +78,7 @@
 
         def connected(sock):
             # Where no connection comes up nothing was sent, and a dead holder's time does not begin anew.
-            if not self.state.goes_out(kind, r, time.monotonic()):
+            if not self.state.goes_out(kind, r, self.host.now()):
                 raise Late
 
         client._connection_pool.after_connect = connected  # the pool's own hook, meant to be overridden
--- /dev/null
+++ b/flintreach/refuge/placing.py
@@ -0,0 +1,186 @@
+"""Placement, keys and directions at a refuge: what it decides from the sums that come up from the bothies."""
+
+import zlib
+
+import msgspec
+
+from flintreach.bunks.plan import KEYS
+from flintreach.bunks.region import Lean, bound, carried, target
+from flintreach.bunks.warmth import Warmth
+from flintreach.hutbook.book import READY
+from flintreach.lookout.roster import ALIVE
+from flintreach.refuge.care import ROLE
+from flintreach.refuge.keys import Keeper
+from flintreach.ridge.place import Place, Ridge
+from flintreach.trail.tally import Tally
+
+PACK, UNPACK = msgspec.msgpack.encode, msgspec.msgpack.decode
+TTL, ASKED = (0.5, 1.5), 300  # seconds an answer of the directory holds; answers a second of one refuge
+MOSTLY, STAY_S = 0.8, 0.5  # of a service's keys in one region, for its clients to be sent there
+KEYS_S, PLACE_S = 0.4, 1.0
+
+
+class Placing:
+    def __init__(self, plane):
+        self.plane, self.host = plane, plane.host
+        self.keepers: dict[str, Keeper] = {}
+        self.asked, self.asked_in, self.ttl = 0, 0.0, TTL[0]
+        self.tally, self.warmth = Tally(), Warmth()
+        self.leans: dict[str, Lean] = {}
+        self.stays, self.stays_at = {}, 0.0  # host -> region of its clients, looked up now and then
+        self.ridge = Ridge(zlib.crc32(plane.node.sender.node_name.encode()))
+        plane.bundle.handlers |= {"counts": lambda link, body: self.hear_tally(body),
+                                  "warmth": lambda link, body: self.warmth.hear(body)}
+
+    def hear_tally(self, body) -> None:
+        self.tally.add(body)
+
+    def able(self, line: str) -> dict[str, tuple[float, str]]:
+        """Endpoints that may hold keys of a service: their weights and addresses."""
+        found, warm, region, berths = self.keyed(line)
+        busy = self.warmth.at_work({r.id: float(r.berths) for r in warm})
+        lean = self.leans.setdefault(line, Lean())
+        factors = lean.weigh(self.region_of(line)[0], berths, busy)
+        return {r.id: (r.berths * factors.get(region[r.id], 1.0) if r in warm or not warm else 0.0, r.addr)
+                for r in found}
+
+    def keyed(self, line: str):
+        """Endpoints that may hold keys, those that are warm or hold some, their regions; berths by region."""
+        away, now, zones = self.plane.away(), self.host.now_ns(), self.plane.node.network.zones
+        found = [r for r in self.plane.book.records.values()
+                 if r.line == line and r.state == READY and r.zone not in away]
+        holders = {row[2] for row in self.plane.board.get(f"bunks/{line}") or ()}
+        # One that has just started is cold, and would get all requests on its keys at once.
+        warm = [r for r in found if r.cold_until <= now or r.id in holders]
+        region = {r.id: zones.get(r.zone, "") for r in found}
+        berths: dict[str, float] = {}
+        for r in warm:
+            berths[region[r.id]] = berths.get(region[r.id], 0.0) + r.berths
+        return found, warm, region, berths
+
+    def region_of(self, line: str) -> tuple[str | None, float]:
+        """Where the keys of a service are to lie, None where its clients come from everywhere; and which part
+        of them lies there."""
+        homes = [self.homes(host) for host, routes in self.plane.routes.hosts.items()
+                 if any(line == name for route in routes for name, _ in route.services)]
+        if not homes or None in homes or len(set.union(*homes)) > 1:
+            return None, 0.0
+        _, _, region, berths = self.keyed(line)
+        keys: dict[str, float] = {}
+        for low, high, holder, _ in self.plane.board.get(f"bunks/{line}") or ():
+            place = region.get(holder, "")
+            keys[place] = keys.get(place, 0.0) + (high - low + 1) / KEYS
+        found = target(set.union(*homes), keys, berths)
+        links = [float(m.posts.get("mbps", 0)) for m in self.plane.roster.alive("bothy")
+                 if m.region == found and m.ready]
+        if not carried(self.warmth.bytes.get(line), links):
+            return None, 0.0
+        return found, keys.get(found, 0.0)
+
+    def keys(self) -> None:
+        while True:
+            # Keys that were just released wait for nothing but their next holder.
+            self.host.sleep(KEYS_S / 8 if any(keeper.soon for keeper in self.keepers.values()) else KEYS_S)
+            if self.plane.routes is None or not self.plane.register.votes():
+                continue
+            for name, depot in self.plane.routes.depots.items():
+                if depot.sharded and name not in self.keepers:
+                    tell = lambda version, rows, name=name: self.plane.board.offer(  # noqa: E731
+                        f"bunks/{name}", version, rows)
+                    node = self.plane.node
+                    self.keepers[name] = Keeper(
+                        node.sender.node_name, name, self.plane.register, node.bounds.hold_cap_ms,
+                        lambda name=name: self.able(name), self.plane.endpoints.ended, tell,
+                        lambda name=name: self.warmth.of(name))
+            for name, keeper in self.keepers.items():
+                keeper.tick()
+
+    def run(self) -> None:
+        """One refuge, the first by name, places; the others hand it what they heard.  Two at once do no harm:
+        the map changes only where it is still the one that was searched from."""
+        while True:
+            self.host.sleep(PLACE_S)
+            body, routes = self.tally.take(), self.plane.routes
+            first = min(self.plane.roster.alive(ROLE), key=lambda member: member.name)
+            if first is not self.plane.roster.me:
+                if body:
+                    self.host.spawn(self.plane.bundle.ask, first.address, "counts", body, 0.8)
+                continue
+            if routes is None:
+                continue
+            if told := self.warmth.take(body):
+                for address in self.plane.peers():  # whoever keeps the keys of a service divides them by it
+                    self.host.spawn(self.plane.bundle.ask, address, "warmth", told, 0.8)
+            plain = [(f"{route.name} {line}", line, route.homes) for route in routes.all
+                     for line, _ in route.services if not routes.depots[line].sharded]
+            number = self.plane.board.get("map", 0)
+            self.ridge.slices(plain, self.plane.board.under("slice/"))
+            self.ridge.heard(body["came"] if body else {}, self.host.now_ns())
+            for _ in self.ridge.run(self.places(body["load"] if body else {}), self.host.now_ns()):
+                self.host.sleep(0)
+            if self.ridge.changed:
+                self.remap(number, {name for name, _, _ in plain}, self.ridge.changed)
+
+    def places(self, load) -> list[Place]:
+        now, away = self.host.now_ns(), self.plane.away()
+        zones = self.plane.node.network.zones
+        return [Place(r.id, r.line, zones.get(r.zone, ""), r.berths, r.cold_until > now,
+                      load[r.id][0] / load[r.id][1] if r.id in load else None)
+                for r in self.plane.book.records.values() if r.state == READY and r.zone not in away]
+
+    def remap(self, number: int, known: set[str], changed: dict[str, list[str]]) -> None:
+        def step(old):
+            stands, tables = UNPACK(old) if old else (0, {})
+            if stands != number:
+                return None  # another refuge was faster: searched again from its map
+            kept = {name: ids for name, ids in tables.items() if name in known}
+            return PACK([number + 1, kept | changed])
+
+        done, value = self.plane.register.change("map", step, 1.0)
+        if done:
+            self.plane.orders.learn("map", value)
+
+    def homes(self, name: str) -> set[str] | None:
+        """Home regions of a host, empty where its routes are bound to keys alone; None where one is free."""
+        if self.plane.routes is None:
+            return None
+        sharded = {line for line, depot in self.plane.routes.depots.items() if depot.sharded}
+        return bound(self.plane.routes.hosts.get(name.lower(), ()), sharded)
+
+    def stay(self, name: str) -> str | None:
+        """The region to which clients of a host are sent; None: to their own."""
+        homes, known = self.homes(name), self.plane.routes
+        routes = known.hosts.get(name.lower(), ()) if known else ()
+        if homes and all(route.homes for route in routes):
+            return sorted(homes)[0]
+        if homes is None:
+            return None
+        lines = {line for route in routes if not route.homes for line, _ in route.services}
+        found = {region for region, part in map(self.region_of, lines) if part >= MOSTLY}
+        return found.pop() if len(found) == 1 else None
+
+    def valid(self, now: float) -> float:
+        """How long an answer of the directory holds: so short that clients soon leave a front without power,
+        longer where so many ask that answering would cost more than that is worth."""
+        if now - self.asked_in >= 1.0:
+            self.ttl = min(TTL[1], max(TTL[0], self.ttl * self.asked / (now - self.asked_in) / ASKED))
+            self.asked, self.asked_in = 0, now
+        self.asked += 1
+        return min(self.ttl, self.plane.node.bounds.ttl_max_s)
+
+    def directions(self, name: str, region: str, zone: str) -> list[str]:
+        now = self.host.now()
+        if now - self.stays_at > STAY_S:
+            self.stays, self.stays_at = {}, now
+        if name not in self.stays:
+            self.stays[name] = self.stay(name)
+        stay = self.stays[name]
+        if stay is not None and region != stay and region not in (self.homes(name) or ()):
+            # Its requests end there anyway: a front of that region brings them on without another long way.
+            region, zone = stay, ""
+        fronts = [m for m in self.plane.roster.alive("bothy") if m.ready and m.state == ALIVE]
+        own = [m for m in fronts if m.zone == zone]
+        for near in (own, [m for m in fronts if m.region == region], fronts):
+            if len(near) >= 2:
+                break
+        return [m.posts["front"] for m in near][:64]
--- /dev/null
+++ b/flintreach/refuge/plane.py
@@ -0,0 +1,116 @@
+"""The control plane of one refuge: register, endpoints, orders, news and keys, without sockets of its own.
+
+Fed by a program from real links, or by a simulation with a clock and links of its own: all that it takes
+from outside is its `host`, its `bundle` of links, its `store` and the `roster` of the pilots that are known.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from flintreach.cairn.register import Register
+from flintreach.refuge.care import ROLE, Care
+from flintreach.refuge.endpoints import Endpoints
+from flintreach.refuge.mesh import Mesh
+from flintreach.refuge.orders import Orders
+from flintreach.refuge.placing import Placing
+from flintreach.trail.board import Board
+from flintreach.trail.relay import Relay
+from flintreach.waymark.settings import Node, place
+from flintreach.waymark.timetable import Routes, Timetable
+
+
+class ControlPlane:
+    """`roster`: who is known, with `alive(role)`; `seeds()`: addresses to join by, as settings name them now;
+    `on_begin()`: called once, when callers may be answered; `keep_keys`: whether it hands out keys."""
+
+    def __init__(self, node: Node, bundle, store, roster, seeds: Callable[[], list],
+                 on_begin: Callable[[], None] = lambda: None):
+        self.node, self.bundle, self.host, self.store, self.roster = node, bundle, bundle.host, store, roster
+        self.seeds, self.on_begin = seeds, on_begin
+        self.first_run = node.sender.first_run
+        self.board = Board()
+        kept = store.facts.get("circle") if store else None
+        voters = [place(text) for text in kept.split(",")] if kept else []
+        self.register = Register(bundle, voters, store)
+        self.serving = False
+        self.routes: Routes | None = None
+        self.endpoints = Endpoints(self, node.carrier.report_ms)
+        self.orders = Orders(self)
+        self.care = Care(self)
+        self.mesh = Mesh(self)
+        self.placing = Placing(self)
+        self.relay = Relay(bundle, self.board, None, self.placing.hear_tally, self.news_age)
+        self.board.watchers.append(self.on_parcel)
+
+    @property
+    def group(self) -> list[tuple[str, int]]:
+        return self.register.group
+
+    @property
+    def book(self):
+        return self.endpoints.book
+
+    def peers(self) -> list[tuple[str, int]]:
+        me = self.bundle.address
+        found = {m.address for m in self.roster.alive(ROLE)} | set(self.group)
+        return sorted(found - {me})
+
+    def enough(self) -> int:
+        """Refuges that must know, this one among them, so that no loss within bounds takes it from all."""
+        return len(self.group) // 2 + 1
+
+    def news_age(self) -> float:
+        """Seconds since this refuge surely knew what stands; a day before its start is over."""
+        if not self.serving:
+            return 86400.0
+        return self.host.now() - max(self.care.majority_at, self.care.touched())
+
+    def on_parcel(self, key: str, version, value) -> None:
+        if key == "timetable":
+            self.routes = Routes(msgspec.json.decode(value, type=Timetable))
+
+    def away(self) -> set[str]:
+        """Zones that are evacuated."""
+        return {zone for zone, on in (self.board.get("evac") or {}).items() if on}
+
+    def begin(self) -> None:
+        """What stands is known, of endpoints too: others may call."""
+        self.endpoints.begin()
+        self.serving = True
+        self.on_begin()
+
+    def start(self) -> None:
+        self.relay.start()
+        for loop in (self.care.sweep, self.mesh.run, self.endpoints.look, self.placing.keys,
+                     self.placing.run):
+            self.host.spawn(loop)
+
+    # What callers may ask (see `control.Control`).
+
+    def show(self, what: str):
+        """Rows of one view, as `flintreach show` prints them; None for a view that there is not."""
+        now = self.host.now_ns()
+        if what == "members":
+            return [{"name": m.name, "role": m.role, "zone": m.zone, "address": f"{m.ip}:{m.port}",
+                     "ready": m.ready, "state": ("alive", "suspected", "dead", "left")[m.state]}
+                    for m in sorted(self.roster.members.values(), key=lambda m: m.name)]
+        if what == "endpoints":
+            return [{"id": r.id, "line": r.line, "addr": r.addr, "zone": r.zone, "state": r.state,
+                     "berths": r.berths, "cold_ms": max(0, r.cold_until - now) // 1_000_000,
+                     "heard_ms": (now - r.heard) // 1_000_000}
+                    for r in sorted(self.book.records.values(), key=lambda r: (r.line, r.id))]
+        if what == "tables":
+            return [{"slice": name, "endpoints": len(ids), "ids": " ".join(ids)}
+                    for name, ids in sorted(self.board.under("slice/").items())]
+        if what == "keys":
+            return [{"line": line, "from": low, "to": high, "holder": holder, "state": state}
+                    for line, rows in sorted(self.board.under("bunks/").items())
+                    for low, high, holder, state in rows]
+        if what == "status":
+            return [{"node": self.node.sender.node_name, "ready": self.serving,
+                     "edition": f"{self.routes.number:08x}" if self.routes else "",
+                     "disks": len(self.group), "votes": self.register.votes(),
+                     "refused_by_disk": self.register.refused, "news_age_s": round(self.news_age(), 1),
+                     "evacuated": " ".join(sorted(self.away()))}]
+        return None
--- a/flintreach/rope/bundle.py
+++ b/flintreach/rope/bundle.py
@@ -1,29 +1,26 @@
 """Links to other pilots by their address, opened when first used and dialled anew after their end."""
 
-import time
 from collections.abc import Callable
 from typing import Any
 
 import gevent
-from gevent.event import Event
-from gevent.lock import RLock
-from gevent.pool import Group
 from gevent.server import StreamServer
 
-from flintreach.rope.link import Closed, Link, dial
+from flintreach.rope.host import Host
+from flintreach.rope.link import Closed, Link
 
 
 class Bundle:
     """What this process says to others (`ask`) and what it answers (`handlers`, by kind)."""
 
-    def __init__(self, address: tuple[str, int]):
-        self.address, self.handlers = address, {}
+    def __init__(self, address: tuple[str, int], host: Host | None = None):
+        self.address, self.handlers, self.host = address, {}, host or Host()
         self.heard: dict[tuple[str, int], float] = {}  # when a pilot last answered
         self.links: dict[tuple[str, int], Link] = {}
-        self.locks: dict[tuple[str, int], RLock] = {}
-        self.server = StreamServer(address, self.serve, backlog=256)
+        self.locks: dict[tuple[str, int], Any] = {}
 
     def start(self) -> None:
+        self.server = StreamServer(self.address, self.serve, backlog=256)
         self.server.start()
 
     def serve(self, sock, address) -> None:
@@ -31,13 +28,13 @@
 
     def link(self, address: tuple[str, int], timeout: float) -> Link:
         """Raises OSError or Closed."""
-        lock = self.locks.setdefault(address, RLock())
+        lock = self.locks.setdefault(address, self.host.lock())
         if not lock.acquire(timeout=timeout):
             raise Closed
         try:
             found = self.links.get(address)
             if found is None or found.closed:
-                found = self.links[address] = dial(address, self.handlers, timeout)
+                found = self.links[address] = self.host.dial(address, self.handlers, timeout)
             return found
         finally:
             lock.release()
@@ -46,7 +43,7 @@
         """The answer of the pilot at an address, or None if none came within `timeout` seconds."""
         try:
             answer = self.link(address, timeout).ask(kind, body, timeout)
-            self.heard[address] = time.monotonic()
+            self.heard[address] = self.host.now()
             return answer
         except (OSError, Closed, gevent.Timeout):
             return None
@@ -57,19 +54,19 @@
 
         `body`: what is said, or a function of the address that gives it.
         """
-        answers, group = [], Group()
-        done = Event()
+        answers, done, left = [], self.host.event(), len(addresses)
 
         def one(address):
+            nonlocal left
             answer = self.ask(address, kind, body(address) if callable(body) else body, timeout)
+            left -= 1
             if answer is not None:
                 answers.append((address, answer))
-            if enough(answers):
+            if enough(answers) or not left:
                 done.set()
 
         for address in addresses:
-            group.start(gevent.Greenlet(one, address))
-        waiter = gevent.spawn(lambda: (group.join(), done.set()))
-        done.wait(timeout + 0.1)
-        waiter.kill(block=False)
+            self.host.spawn(one, address)
+        if addresses:
+            done.wait(timeout + 0.1)
         return [*answers]
--- a/flintreach/trail/relay.py
+++ b/flintreach/trail/relay.py
@@ -5,12 +5,8 @@
 alone.  Two parents tell the same: one that dies or falls behind costs nothing while another is looked for.
 """
 
-import time
-
-import gevent
-
 from flintreach.rope.bundle import Bundle
-from flintreach.rope.link import Closed, Link, dial
+from flintreach.rope.link import Closed, Link
 from flintreach.trail.board import Board
 
 SIGN, STALE = 0.25, 1.2  # seconds between signs; without a fresh one, another parent is looked for
@@ -21,7 +17,7 @@
     """`parents()`: addresses to hear from, the best first.  `age()`: seconds since news were surely fresh."""
 
     def __init__(self, bundle: Bundle, board: Board, parents=None, told=None, root_age=lambda: 0.0):
-        self.bundle, self.board, self.parents = bundle, board, parents
+        self.bundle, self.host, self.board, self.parents = bundle, bundle.host, board, parents
         self.children: dict[Link, bool] = {}
         self.fresh_at, self.root_age = None, root_age  # a refuge knows by itself how old its news may be
         self.links: list[Link | None] = [None] * PARENTS
@@ -31,16 +27,16 @@
         board.watchers.append(self.spread)
 
     def start(self) -> None:
-        gevent.spawn(self.signs)
+        self.host.spawn(self.signs)
         if self.parents:
             for place in range(PARENTS):
-                gevent.spawn(self.climb, place)
+                self.host.spawn(self.climb, place)
 
     def age(self) -> float:
         """Seconds since what this process holds was that of a refuge; a day if it never was."""
         if self.parents is None:
             return self.root_age()
-        return 86400.0 if self.fresh_at is None else time.monotonic() - self.fresh_at
+        return 86400.0 if self.fresh_at is None else self.host.now() - self.fresh_at
 
     # Down.
 
@@ -56,7 +52,7 @@
 
     def signs(self) -> None:
         while True:
-            gevent.sleep(SIGN)
+            self.host.sleep(SIGN)
             for link in [*self.children]:
                 link.send("sign", self.age())
 
@@ -69,14 +65,14 @@
 
     def on_sign(self, link, age) -> None:
         if link in self.links and age < STALE:
-            self.fresh_at = max(self.fresh_at or 0.0, time.monotonic() - age)
-            link.fresh_at = max(link.fresh_at, time.monotonic() - age)
+            self.fresh_at = max(self.fresh_at or 0.0, self.host.now() - age)
+            link.fresh_at = max(link.fresh_at, self.host.now() - age)
 
     def best(self, place: int, avoid: dict) -> tuple[str, int] | None:
         """The best parent that no other climber keeps to, and that this one need not avoid."""
         others = [address for at, address in enumerate(self.taken) if at != place]
         free = [address for address in self.parents() if address not in others]
-        now = time.monotonic()
+        now = self.host.now()
         return next((address for address in free if avoid.get(address, 0) <= now), free[0] if free else None)
 
     def climb(self, place: int) -> None:
@@ -86,13 +82,13 @@
         while True:
             self.taken[place] = address = self.best(place, avoid)
             if address is None:
-                gevent.sleep(0.05 if not place else 0.5)
+                self.host.sleep(0.05 if not place else 0.5)
                 continue
             try:
-                self.links[place] = link = dial(address, handlers, 0.7)
+                self.links[place] = link = self.host.dial(address, handlers, 0.7)
             except OSError:
-                avoid[address] = time.monotonic() + 3
-                gevent.sleep(0.02)
+                avoid[address] = self.host.now() + 3
+                self.host.sleep(0.02)
                 continue
             try:
                 rows, age = link.ask("follow", self.board.digest(), 1.0)
@@ -100,23 +96,23 @@
                 self.on_sign(link, age)
                 if age >= STALE:  # it has just started itself, or is cut off
                     link.close()
-                    avoid[address] = time.monotonic() + 0.3
-                    gevent.sleep(0.03)
+                    avoid[address] = self.host.now() + 0.3
+                    self.host.sleep(0.03)
                     continue
-                began = time.monotonic()
+                began = self.host.now()
                 while not link.closed:
-                    gevent.sleep(SIGN)
+                    self.host.sleep(SIGN)
                     # Right after a start a parent may not know much itself.
-                    if time.monotonic() - max(link.fresh_at, began) > STALE:
-                        avoid[address] = time.monotonic() + 3
+                    if self.host.now() - max(link.fresh_at, began) > STALE:
+                        avoid[address] = self.host.now() + 3
                         break
                     if self.best(place, avoid) != address:
                         break
                 else:
-                    avoid[address] = time.monotonic() + 1
+                    avoid[address] = self.host.now() + 1
             except (Closed, TypeError, ValueError):
-                avoid[address] = time.monotonic() + 3
-                gevent.sleep(0.05)
+                avoid[address] = self.host.now() + 3
+                self.host.sleep(0.05)
             link.close()
 
     def say_up(self, body) -> None:
--- a/tests/test_system_carrying.py
+++ b/tests/test_system_carrying.py
@@ -16,7 +16,8 @@
 from flintreach.bothy.gate import FIRST, Gate
 from flintreach.bothy.reply import Message
 from flintreach.bothy.world import World
-from flintreach.refuge.program import TTL, Refuge
+from flintreach.refuge.care import Care
+from flintreach.refuge.placing import TTL, Placing
 from flintreach.trail.board import Board
 from flintreach.trail.tally import Tally
 from flintreach.waymark.settings import Bounds
@@ -229,22 +230,23 @@
     def test_alone_means_without_a_word_from_a_majority(self):
 
         circle = [(f"10.0.0.{i}", 7) for i in range(5)]
-        refuge = SimpleNamespace(group=circle, bundle=SimpleNamespace(address=circle[0], heard={}),
-                                 enough=lambda: 3)
-        self.assertLess(Refuge.touched(refuge), 0)
-        refuge.bundle.heard = {circle[1]: 50.0}
-        self.assertLess(Refuge.touched(refuge), 0)
-        refuge.bundle.heard = {circle[1]: 50.0, circle[2]: 40.0, circle[3]: 30.0}
-        self.assertEqual(Refuge.touched(refuge), 40.0)
+        bundle = SimpleNamespace(address=circle[0], heard={})
+        care = SimpleNamespace(plane=SimpleNamespace(group=circle, bundle=bundle, enough=lambda: 3))
+        self.assertLess(Care.touched(care), 0)
+        bundle.heard = {circle[1]: 50.0}
+        self.assertLess(Care.touched(care), 0)
+        bundle.heard = {circle[1]: 50.0, circle[2]: 40.0, circle[3]: 30.0}
+        self.assertEqual(Care.touched(care), 40.0)
 
     def test_the_directory_is_asked_often_until_it_has_much_to_answer(self):
-        refuge = SimpleNamespace(ttl=TTL[0], asked=0, asked_in=0.0, node=SimpleNamespace(bounds=Bounds()))
+        plane = SimpleNamespace(node=SimpleNamespace(bounds=Bounds()))
+        refuge = SimpleNamespace(ttl=TTL[0], asked=0, asked_in=0.0, plane=plane)
         for clients, least, most in ((30, 0.5, 0.5), (400, 1.1, 1.5), (30, 0.5, 0.5)):
             now = refuge.asked_in
             for _ in range(12):  # each client comes back when its answer is over
                 for _ in range(int(clients / refuge.ttl)):
                     now += refuge.ttl / clients
-                    told = Refuge.valid(refuge, now)
+                    told = Placing.valid(refuge, now)
             self.assertTrue(least <= told <= most, (clients, told))
 
 
--- a/tests/test_system_parts.py
+++ b/tests/test_system_parts.py
@@ -34,6 +34,7 @@
 from flintreach.hutbook.book import CLOSING, GONE, MS, READY, SILENT, Beat, Book
 from flintreach.lookout.roster import ALIVE, DEAD, SUSPECTED, Member, Roster
 from flintreach.ridge.place import Place, Ridge
+from flintreach.rope.host import Host
 from flintreach.trail.board import Board
 from flintreach.trail.tally import Tally
 from flintreach.trail.tree import BORNE, FAN, parents
@@ -151,7 +152,7 @@
         sent, slot = [], [[0, ""], [0, ""], None]
 
         class Quiet:
-            address, handlers = ("10.0.0.1", 7), {}
+            address, handlers, host = ("10.0.0.1", 7), {}, Host()
 
             def gather(self, group, kind, body, enough, timeout):
                 if kind == "prepare":
