The voters are a value with an epoch; who knows a later one refuses the earlier

Need: voters were a list decided once, with nothing by which a message could tell which list it meant. Change: cairn/voters.py holds configurations with an epoch, one set or two (joint), and their quorums; the register keeps the latest on disk, answers "newer" or "behind" to other epochs, and adopts what is told. Prepare and accept don't carry the epoch yet; that and the changes themselves come next.

--- a/flintreach/cairn/offline.py
+++ b/flintreach/cairn/offline.py
@@ -31,8 +31,10 @@
             return f"change {told[0]}: {len(told[1])} tables"
         if key.startswith("bunks/"):
             return f"keeper {told[0]}, epoch {told[1]}, highest fence {told[3]}, {len(told[4])} ranges"
-        if key == "circle":
-            return " ".join(f"{ip}:{port}" for ip, port in told)
+        if key == "voters":
+            epoch, *sets = told
+            return f"epoch {epoch}: " + " and ".join(
+                " ".join(f"{ip}:{port}" for ip, port, _ in one) for one in sets if one)
     except (ValueError, TypeError, KeyError, IndexError, AttributeError, msgspec.DecodeError):
         return f"{len(value)} bytes that can't be read"
     return f"{len(value)} bytes"
--- a/flintreach/cairn/register.py
+++ b/flintreach/cairn/register.py
@@ -3,11 +3,14 @@
 Without a disk of its own (or outside the group of disks) a process only writes and reads.
 """
 
+from typing import Any
+
 import msgspec
 
 from flintreach.cairn.acceptor import Acceptor, Slot
 from flintreach.cairn.proposer import Change, Step
 from flintreach.cairn.store import Store
+from flintreach.cairn.voters import Voters
 from flintreach.rope.bundle import Bundle
 
 PACK, UNPACK = msgspec.msgpack.encode, msgspec.msgpack.decode
@@ -22,17 +25,59 @@
 
 
 class Register:
-    """`group`: addresses of the processes whose disks vote, the same at each; empty until it is known."""
+    """`voters`: the latest configuration that this process knows to be decided; epoch 0 until one is."""
 
-    def __init__(self, bundle: Bundle, group: list[tuple[str, int]], store: Store | None):
-        self.bundle, self.host, self.group, self.store = bundle, bundle.host, group, store
+    def __init__(self, bundle: Bundle, voters: Voters, store: Store | None):
+        self.bundle, self.host, self.voters, self.store = bundle, bundle.host, voters, store
         self.me = f"{bundle.address[0]}:{bundle.address[1]}"
         self.acceptor = Acceptor(store.life, store.voting, store.slots) if store else None
         self.rounds: dict[str, int] = {}
         self.lives: dict[str, str] = {}  # address -> the disk that last promised there
         self.locks: dict = {}
         self.refused = 0  # writes that the disk did not take
-        bundle.handlers |= {"prepare": self.on_prepare, "accept": self.on_accept, "slots": self.on_slots}
+        bundle.handlers |= {"prepare": self.on_prepare, "accept": self.on_accept, "slots": self.on_slots,
+                            "voters": self.on_voters}
+
+    @property
+    def group(self) -> list[tuple[str, int]]:
+        """Addresses of the processes whose disks vote; empty until it is known."""
+        return self.voters.members() if self.voters.epoch else []
+
+    # Epochs: who knows a later one refuses the earlier and tells the later.
+
+    def check(self, epoch: int) -> list | None:
+        """None where a sender's epoch is ours; else what to answer instead of acting."""
+        if epoch < self.voters.epoch:
+            return ["newer", self.voters.row()]
+        return ["behind"] if epoch > self.voters.epoch else None
+
+    def heed(self, address: tuple[str, int], answer: Any) -> bool:
+        """Whether an answer was one of `check`'s: then the question is to be asked again."""
+        if not isinstance(answer, list) or answer[:1] not in (["newer"], ["behind"]):
+            return False
+        if answer[0] == "newer":
+            self.adopt(Voters.of(answer[1]))
+        else:
+            self.bundle.ask(address, "voters", self.voters.row(), 0.5)
+        return True
+
+    def adopt(self, voters: Voters) -> bool:
+        """Take a later configuration, one that was decided; whether this process now holds it or a later one.
+
+        On disk first: an acceptor that forgot an epoch would serve the earlier one again.
+        """
+        if voters.epoch > self.voters.epoch:
+            if self.store and not self.store.keep({}, {"voters": PACK(voters.row()).hex()}):
+                return False
+            if voters.epoch > self.voters.epoch:  # another may have come while the disk wrote
+                self.voters = voters
+        return True
+
+    def on_voters(self, link, row):
+        """Another process tells its configuration (None: it only asks); ours is the answer."""
+        if row is not None:
+            self.adopt(Voters.of(row))
+        return self.voters.row() if self.voters.epoch else None
 
     def votes(self) -> bool:
         """Whether this process's disk is one of those that vote, and knows enough to."""
--- a/flintreach/refuge/care.py
+++ b/flintreach/refuge/care.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from flintreach.cairn import circle
+from flintreach.cairn.voters import Voters
 from flintreach.waymark.log import say
 
 PACK, UNPACK = msgspec.msgpack.encode, msgspec.msgpack.decode
@@ -17,8 +18,7 @@
         self.learned: dict[str, tuple] = {}  # key -> the stamp of what was last told as news
         self.lagging: dict[str, tuple] = {}  # key -> the oldest stamp of it that the last sweep saw
         self.majority_at = -86400.0
-        plane.bundle.handlers |= {"stamps": self.on_stamps, "value": self.on_value,
-                                  "circle": lambda link, body: plane.group or None}
+        plane.bundle.handlers |= {"stamps": self.on_stamps, "value": self.on_value}
 
     def find_circle(self) -> None:
         """Learn which disks vote: from others, or at a first start by deciding it with them."""
@@ -31,19 +31,18 @@
             if len(disks) != known:
                 known, since = len(disks), host.now()
             others = [address for address, _ in disks if address != plane.bundle.address]
-            found = plane.bundle.gather(others, "circle", None, bool, 0.3) if others else []
+            found = plane.bundle.gather(others, "voters", None, bool, 0.3) if others else []
             if found:
-                self.register.group = sorted((ip, port) for ip, port in found[0][1])
+                self.register.adopt(Voters.of(found[0][1]))
             elif plane.first_run and circle.settled(known, since, host.now(), *WAIT, began):
                 # What an earlier one has decided stands: the disks of the seeds know it.
-                wish = PACK(circle.proposed(disks))
+                wish = PACK(Voters(1, tuple((a, "") for a in circle.proposed(disks))).row())
                 step = lambda old, wish=wish: None if old else wish  # noqa: E731
-                done, value = self.register.change("circle", step, 1.0, plane.seeds())
+                done, value = self.register.change("voters", step, 1.0, plane.seeds())
                 if done:
-                    self.register.group = sorted((ip, port) for ip, port in UNPACK(value))
-        if plane.store and "circle" not in plane.store.facts:
-            plane.store.keep({}, {"circle": ",".join(f"{ip}:{port}" for ip, port in plane.group)})
-        say("circle", disks=[ip for ip, _ in plane.group], votes=plane.bundle.address in plane.group)
+                    self.register.adopt(Voters.of(UNPACK(value)))
+        say("voters", epoch=self.register.voters.epoch, disks=[ip for ip, _ in plane.group],
+            votes=plane.bundle.address in plane.group)
 
     def touched(self) -> float:
         """When a majority of the circle, this refuge among them, was last heard."""
@@ -81,7 +80,7 @@
             return False
         self.majority_at = self.host.now()
         crew, lagging = [], {}
-        for key in sorted({key for _, held in answers for key in held} - {"circle"}):
+        for key in sorted({key for _, held in answers for key in held} - {"voters"}):
             seen = [tuple(held.get(key, (0, ""))) for _, held in answers]
             newest = max(seen)
             if min(seen) != newest:
--- a/flintreach/refuge/plane.py
+++ b/flintreach/refuge/plane.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from flintreach.cairn.register import Register
+from flintreach.cairn.voters import Voters
 from flintreach.refuge.care import ROLE, Care
 from flintreach.refuge.endpoints import Endpoints
 from flintreach.refuge.mesh import Mesh
@@ -16,7 +17,7 @@
 from flintreach.refuge.placing import Placing
 from flintreach.trail.board import Board
 from flintreach.trail.relay import Relay
-from flintreach.waymark.settings import Node, place
+from flintreach.waymark.settings import Node
 from flintreach.waymark.timetable import Routes, Timetable
 
 
@@ -30,8 +31,8 @@
         self.seeds, self.on_begin = seeds, on_begin
         self.first_run = node.sender.first_run
         self.board = Board()
-        kept = store.facts.get("circle") if store else None
-        voters = [place(text) for text in kept.split(",")] if kept else []
+        kept = store.facts.get("voters") if store else None
+        voters = Voters.of(msgspec.msgpack.decode(bytes.fromhex(kept))) if kept else Voters()
         self.register = Register(bundle, voters, store)
         self.serving = False
         self.routes: Routes | None = None
--- a/tests/test_system_parts.py
+++ b/tests/test_system_parts.py
@@ -31,6 +31,7 @@
 from flintreach.cairn.acceptor import Acceptor
 from flintreach.cairn.proposer import Change
 from flintreach.cairn.register import Register as Register_
+from flintreach.cairn.voters import Voters
 from flintreach.hutbook.book import CLOSING, GONE, MS, READY, SILENT, Beat, Book
 from flintreach.lookout.roster import ALIVE, DEAD, SUSPECTED, Member, Roster
 from flintreach.ridge.place import Place, Ridge
@@ -161,7 +162,7 @@
                 sent.extend(body(address)[-1] for address in group)
                 return enough([(address, ["accepted", slot]) for address in group])
 
-        register = Register_(Quiet(), [("10.0.0.1", 7), ("10.0.0.2", 7)], None)
+        register = Register_(Quiet(), Voters(1, ((("10.0.0.1", 7), ""), (("10.0.0.2", 7), ""))), None)
         self.assertEqual(register.change("k", added), (True, b"x"))
         self.assertEqual(sent, ["old", "old"])
 
