A refuge that has just started leads nothing: it neither places nor keeps keys before it serves

Cause: the placer was the first refuge by name among all that were alive, so one that returned took the sums at once and searched from whatever map it held; the keeper's loop ran before the start was over. Change: the placer is the first of those that are ready; the keeper waits until its refuge serves. Measured: a case with one that still starts; the cases of the whole system pass.

--- a/flintreach/refuge/placing.py
+++ b/flintreach/refuge/placing.py
@@ -8,7 +8,7 @@
 from flintreach.bunks.region import Lean, bound, carried, target
 from flintreach.bunks.warmth import Warmth
 from flintreach.hutbook.book import READY
-from flintreach.lookout.roster import ALIVE
+from flintreach.lookout.roster import ALIVE, Member
 from flintreach.refuge.care import ROLE
 from flintreach.refuge.keys import Keeper
 from flintreach.ridge.place import Place, Ridge
@@ -20,6 +20,11 @@
 KEYS_S, PLACE_S = 0.4, 1.0
 
 
+def leader(refuges: list[Member]) -> Member | None:
+    """Who places: the first by name of those that are ready; one that still starts may hold an old map."""
+    return min((member for member in refuges if member.ready), key=lambda member: member.name, default=None)
+
+
 class Placing:
     def __init__(self, plane):
         self.plane, self.host = plane, plane.host
@@ -81,7 +86,8 @@
         while True:
             # Keys that were just released wait for nothing but their next holder.
             self.host.sleep(KEYS_S / 8 if any(keeper.soon for keeper in self.keepers.values()) else KEYS_S)
-            if self.plane.routes is None or not self.plane.register.votes():
+            # One that has just started may hold old news: it leads nothing before it knows what stands.
+            if not self.plane.serving or self.plane.routes is None or not self.plane.register.votes():
                 continue
             for name, depot in self.plane.routes.depots.items():
                 if depot.sharded and name not in self.keepers:
@@ -101,9 +107,9 @@
         while True:
             self.host.sleep(PLACE_S)
             body, routes = self.tally.take(), self.plane.routes
-            first = min(self.plane.roster.alive(ROLE), key=lambda member: member.name)
+            first = leader(self.plane.roster.alive(ROLE))
             if first is not self.plane.roster.me:
-                if body:
+                if body and first is not None:
                     self.host.spawn(self.plane.bundle.ask, first.address, "counts", body, 0.8)
                 continue
             if routes is None:
--- a/tests/test_system_carrying.py
+++ b/tests/test_system_carrying.py
@@ -16,8 +16,9 @@
 from flintreach.bothy.gate import FIRST, Gate
 from flintreach.bothy.reply import Message
 from flintreach.bothy.world import World
+from flintreach.lookout.roster import Member
 from flintreach.refuge.care import Care
-from flintreach.refuge.placing import TTL, Placing
+from flintreach.refuge.placing import TTL, Placing, leader
 from flintreach.trail.board import Board
 from flintreach.trail.tally import Tally
 from flintreach.waymark.settings import Bounds
@@ -238,6 +239,13 @@
         bundle.heard = {circle[1]: 50.0, circle[2]: 40.0, circle[3]: 30.0}
         self.assertEqual(Care.touched(care), 40.0)
 
+    def test_one_that_has_just_started_leads_nothing(self):
+        names = {"a": False, "b": True, "c": True}
+        members = [Member(name, "refuge", "10.0.0.1", 7, "z", "r", ready=ready)
+                   for name, ready in names.items()]
+        self.assertEqual(leader(members).name, "b")
+        self.assertIsNone(leader(members[:1]))
+
     def test_the_directory_is_asked_often_until_it_has_much_to_answer(self):
         plane = SimpleNamespace(node=SimpleNamespace(bounds=Bounds()))
         refuge = SimpleNamespace(ttl=TTL[0], asked=0, asked_in=0.0, plane=plane)
