News are followed in portions, with marks that are asked; tombstones have a horizon

Cause: freshness was counted from when a pushed sign was read, so signs that lay in a buffer while a process slept counted as fresh, and a link that was cut one way was noticed by the kernel's limit alone. A child told every key that ever was at each follow, and the answer was one message however much was held: 3,000 endpoints that had ended stood on each board, and 76 KB of digest went up at each follow. Change: trail.relay.Follow dials, follows and marks; a mark is asked on the link that carries the news and counts from when it was asked. World forgets tables, keys and endpoints that are dropped. The mesh of refuges uses the same piece. Four questions and four answers a second a link, where four signs went before.

--- a/flintreach/bothy/program.py
+++ b/flintreach/bothy/program.py
@@ -33,7 +33,7 @@
     def __init__(self, node: settings.Node):
         self.node, me = node, node.sender
         address = node.inner(POST)
-        self.bundle, self.board = Bundle(address), Board()
+        self.bundle, self.board = Bundle(address), Board(time.monotonic)
         self.here = Here(me.zone, me.region, name=me.node_name)
         self.world = World(self.board, self.here, node.network.zones, time.monotonic_ns, node.bounds)
         self.counts: dict[str, int] = {}
--- a/flintreach/bothy/world.py
+++ b/flintreach/bothy/world.py
@@ -34,6 +34,7 @@
         self.tables: dict[str, frozenset[str]] = {}  # slice -> endpoints
         self.keys: dict[str, tuple[list[int], list[tuple[int, str]]]] = {}
         board.watchers.append(self.hear)
+        board.droppers.append(lambda key: self.hear(key, None, None))
 
     def hear(self, key: str, version: Any, value: Any) -> None:
         kind, _, name = key.partition("/")
@@ -48,8 +49,12 @@
                 if hut.zone in self.away and hut.zone not in away:
                     hut.cold_until = max(hut.cold_until, self.clock() + self.cold_time(hut.line))
             self.away = away
+        elif kind == "slice" and value is None:
+            self.tables.pop(name, None)
         elif kind == "slice":
             self.tables[name] = frozenset(value)
+        elif kind == "bunks" and value is None:
+            self.keys.pop(name, None)
         elif kind == "bunks":
             rows = sorted((low, high, holder) for low, high, holder, state in value if state == "held")
             self.keys[name] = [low for low, _, _ in rows], [(high, holder) for _, high, holder in rows]
@@ -63,7 +68,10 @@
         if told is None or told["state"] == "gone":
             if held is not None:
                 del self.huts[id]
-                self.lines.get(held.line, {}).pop(id, None)
+                line = self.lines[held.line]
+                del line[id]
+                if not line:
+                    del self.lines[held.line]
                 held.state = "gone"
                 held.wires.close()
                 self.divided = None
--- a/flintreach/refuge/mesh.py
+++ b/flintreach/refuge/mesh.py
@@ -1,6 +1,7 @@
 """News among the refuges: each follows the boards of all others."""
 
 from flintreach.rope.link import Closed
+from flintreach.trail.relay import MARK, Follow
 
 
 class Mesh:
@@ -17,23 +18,24 @@
             self.host.sleep(0.3)
 
     def follow(self, address) -> None:
-        def on_news(link, rows):
-            for key, version, value in rows:
-                self.hear(key, version, value)
-
+        follow = Follow(self.host, self.plane.board, address, self.take)
         try:
-            link = self.host.dial(address, {"news": on_news, "sign": lambda link, age: None}, 0.7)
-            rows, _ = link.ask("follow", self.plane.board.digest(), 1.0)
-            on_news(link, rows)
-            while not link.closed:
-                self.host.sleep(0.2)
-        except (OSError, Closed, TypeError):
+            follow.begin()
+            while True:
+                self.host.sleep(MARK)
+                follow.mark()
+        except (OSError, Closed, TypeError, ValueError):
             self.host.sleep(0.3)
         finally:
+            follow.close()
             self.followed.discard(address)
 
-    def hear(self, key: str, version, value) -> None:
+    def take(self, rows) -> None:
+        for row in rows:
+            self.hear(*row)
+
+    def hear(self, key: str, version, value, age: float = 0.0) -> None:
         kind, _, id = key.partition("/")
         if kind == "hut" and isinstance(value, dict):
             self.plane.endpoints.heard_of(id, version, value)
-        self.plane.board.offer(key, version, value)
+        self.plane.board.offer(key, version, value, age)
--- a/flintreach/refuge/plane.py
+++ b/flintreach/refuge/plane.py
@@ -30,7 +30,7 @@
         self.node, self.bundle, self.host, self.store, self.roster = node, bundle, bundle.host, store, roster
         self.seeds, self.on_begin = seeds, on_begin
         self.first_run = node.sender.first_run
-        self.board = Board()
+        self.board = Board(self.host.now)
         kept = store.facts.get("voters") if store else None
         voters = Voters.of(msgspec.msgpack.decode(bytes.fromhex(kept))) if kept else Voters()
         self.register = Register(bundle, voters, store)
--- a/flintreach/rope/link.py
+++ b/flintreach/rope/link.py
@@ -36,7 +36,6 @@
         self.waiting: dict[int, AsyncResult] = {}
         self.out, self.some, self.number = [], Event(), 0
         self.closed, self.on_close = False, []
-        self.fresh_at = 0.0  # when the peer's news were surely fresh, where it tells news
         self.readers = [gevent.spawn(self.read), gevent.spawn(self.write)]
 
     def send(self, kind: str, body: Any = None, number: int = 0) -> None:
--- a/flintreach/trail/relay.py
+++ b/flintreach/trail/relay.py
@@ -1,16 +1,94 @@
 """The tree of news at work: links up to two parents, any number of links down to children.
 
-A child tells what it holds, and gets what it lacks; then each new parcel as it comes.  Each SIGN the parent
-says how old its own news may be: a relay that is cut off from the refuges is noticed by that, not by silence
-alone.  Two parents tell the same: one that dies or falls behind costs nothing while another is looked for.
+A child tells what it holds, and gets what it lacks in portions; then each new parcel as it comes.  Each MARK
+seconds it asks on the same link how old the parent's news may be: a relay that is cut off from the refuges is
+noticed by that, and so is a link that carries one way alone.  Two parents tell the same: one that dies or
+falls behind costs nothing while another is looked for.
 """
 
+from collections.abc import Callable, Iterable
+
 from flintreach.rope.bundle import Bundle
+from flintreach.rope.host import Host
 from flintreach.rope.link import Closed, Link
-from flintreach.trail.board import Board
+from flintreach.trail.board import STALE_BOARD, Board, Row
 
-SIGN, STALE = 0.25, 1.2  # seconds between signs; without a fresh one, another parent is looked for
+MARK, STALE = 0.25, 1.2  # seconds between marks; without a fresh one, another parent is looked for
+DIAL_S, ASK_S = 0.7, 1.0
 PARENTS = 2
+NEVER = -86400.0
+EXPIRE_S = 2.0
+
+
+class Follow:
+    """Another process's board, followed over a link of its own.
+
+    `take(rows)`: where its news go (the board itself, if not told).  `fresh_at`: when that process surely
+    held what stands, all of which is held here too; `answered_at`: when it was last in touch.  Both are
+    steady seconds of the host, and count from when a question was asked: its answer may have lain in a buffer
+    while this process slept.
+    """
+
+    def __init__(self, host: Host, board: Board, address: tuple[str, int],
+                 take: Callable[[Iterable[Row]], None] | None = None):
+        self.host, self.board, self.address, self.take = host, board, address, take or board.take
+        self.link: Link | None = None
+        self.fresh_at, self.answered_at, self.began = NEVER, NEVER, host.now()
+
+    def begin(self, renew: bool = False, oldest: float = 1e9) -> bool:
+        """Come up to what the other holds; False where its news are older than `oldest` seconds.
+
+        `renew`: what this process holds may be older than the others' tombstones, so a snapshot takes its
+        place.  Raises OSError, Closed, and TypeError or ValueError where the other's answers make no sense.
+        """
+        self.link = self.host.dial(self.address, {"news": self.on_news}, DIAL_S)
+        held = Board(self.board.clock) if renew else self.board
+        if renew:
+            self.board.watchers.append(held.offer)  # what comes by other ways meanwhile is newer
+        try:
+            asked_at = self.host.now()
+            buckets, age = self.link.ask("follow", held.digest(), ASK_S)
+            if age > oldest:
+                return False
+            whole = not buckets
+            while buckets:
+                rows, done = self.link.ask("lack", held.versions(buckets), ASK_S)
+                if not rows and not done:
+                    raise ValueError("a portion with nothing in it")
+                (held.take if renew else self.take)(rows)
+                buckets = [bucket for bucket in buckets if bucket not in done]
+            if renew:
+                self.take(held.rows())
+                self.board.keep_only(held)
+        finally:
+            if renew:
+                self.board.watchers.remove(held.offer)
+        self.began = self.host.now()
+        if whole:
+            self.fresh_at, self.answered_at = asked_at - age, asked_at
+        else:
+            self.mark()  # a long snapshot would count as old news right after it came
+        return True
+
+    def on_news(self, link: Link, rows: list[Row]) -> None:
+        if link is self.link and not link.closed:
+            self.take(rows)
+
+    def mark(self) -> None:
+        """Ask how old the other's news may be.  Raises Closed where nothing was heard for STALE seconds: a
+        link that is cut one way looks well until something is asked on it."""
+        asked_at = self.host.now()
+        left = max(self.answered_at, self.began) + STALE - asked_at
+        age = self.link.ask("mark", None, max(left, 0.05))
+        self.fresh_at, self.answered_at = max(self.fresh_at, asked_at - age), asked_at
+
+    def stale(self) -> bool:
+        """Right after a start the other may not know much itself: that is no reason to leave it at once."""
+        return self.host.now() - max(self.fresh_at, self.began) > STALE
+
+    def close(self) -> None:
+        if self.link is not None:
+            self.link.close()
 
 
 class Relay:
@@ -19,55 +97,46 @@
     def __init__(self, bundle: Bundle, board: Board, parents=None, told=None, root_age=lambda: 0.0):
         self.bundle, self.host, self.board, self.parents = bundle, bundle.host, board, parents
         self.children: dict[Link, bool] = {}
-        self.fresh_at, self.root_age = None, root_age  # a refuge knows by itself how old its news may be
-        self.links: list[Link | None] = [None] * PARENTS
+        self.fresh_at, self.root_age = NEVER, root_age  # a refuge knows by itself how old its news may be
+        self.follows: list[Follow | None] = [None] * PARENTS
         self.taken: list = [None] * PARENTS  # addresses that each climber keeps to
         self.told = told or (lambda body: None)  # what a child says upward
-        bundle.handlers |= {"follow": self.on_follow, "up": lambda link, body: self.told(body)}
+        bundle.handlers |= {"follow": self.on_follow, "lack": lambda link, told: [*self.board.missing(told)],
+                            "mark": lambda link, body: self.age(),
+                            "up": lambda link, body: self.told(body)}
         board.watchers.append(self.spread)
 
     def start(self) -> None:
-        self.host.spawn(self.signs)
+        self.host.spawn(self.expire)
         if self.parents:
             for place in range(PARENTS):
                 self.host.spawn(self.climb, place)
 
+    def expire(self) -> None:
+        while True:
+            self.host.sleep(EXPIRE_S)
+            self.board.expire()
+
     def age(self) -> float:
         """Seconds since what this process holds was that of a refuge; a day if it never was."""
         if self.parents is None:
             return self.root_age()
-        return 86400.0 if self.fresh_at is None else self.host.now() - self.fresh_at
+        return min(self.host.now() - self.fresh_at, 86400.0)
 
     # Down.
 
-    def on_follow(self, link: Link, digest):
+    def on_follow(self, link: Link, digest: bytes):
         if link not in self.children:
             link.on_close.append(lambda link: self.children.pop(link, None))
-        self.children[link] = True
-        return [self.board.missing(digest), self.age()]
+            self.children[link] = True
+        return [self.board.differing(digest), self.age()]
 
     def spread(self, key, version, value) -> None:
         for link in [*self.children]:
-            link.send("news", [[key, version, value]])
-
-    def signs(self) -> None:
-        while True:
-            self.host.sleep(SIGN)
-            for link in [*self.children]:
-                link.send("sign", self.age())
+            link.send("news", [[key, version, value, self.board.age(key)]])
 
     # Up.
 
-    def on_news(self, link, rows) -> None:
-        if link in self.links:
-            for key, version, value in rows:
-                self.board.offer(key, version, value)
-
-    def on_sign(self, link, age) -> None:
-        if link in self.links and age < STALE:
-            self.fresh_at = max(self.fresh_at or 0.0, self.host.now() - age)
-            link.fresh_at = max(link.fresh_at, self.host.now() - age)
-
     def best(self, place: int, avoid: dict) -> tuple[str, int] | None:
         """The best parent that no other climber keeps to, and that this one need not avoid."""
         others = [address for at, address in enumerate(self.taken) if at != place]
@@ -77,45 +146,38 @@
 
     def climb(self, place: int) -> None:
         """Keep to the best parent whose news are fresh; another while there is none."""
-        handlers = {"news": self.on_news, "sign": self.on_sign}
         avoid: dict = {}
         while True:
             self.taken[place] = address = self.best(place, avoid)
             if address is None:
                 self.host.sleep(0.05 if not place else 0.5)
                 continue
+            avoid = {other: until for other, until in avoid.items() if until > self.host.now()}
+            self.follows[place] = follow = Follow(self.host, self.board, address)
             try:
-                self.links[place] = link = self.host.dial(address, handlers, 0.7)
-            except OSError:
-                avoid[address] = self.host.now() + 3
-                self.host.sleep(0.02)
-                continue
-            try:
-                rows, age = link.ask("follow", self.board.digest(), 1.0)
-                self.on_news(link, rows)
-                self.on_sign(link, age)
-                if age >= STALE:  # it has just started itself, or is cut off
-                    link.close()
+                if not follow.begin(self.age() > STALE_BOARD, STALE):  # it has just started, or is cut off
                     avoid[address] = self.host.now() + 0.3
                     self.host.sleep(0.03)
                     continue
-                began = self.host.now()
-                while not link.closed:
-                    self.host.sleep(SIGN)
-                    # Right after a start a parent may not know much itself.
-                    if self.host.now() - max(link.fresh_at, began) > STALE:
+                while True:
+                    self.fresh_at = max(self.fresh_at, follow.fresh_at)
+                    if follow.stale():
                         avoid[address] = self.host.now() + 3
                         break
                     if self.best(place, avoid) != address:
                         break
-                else:
-                    avoid[address] = self.host.now() + 1
-            except (Closed, TypeError, ValueError):
+                    self.host.sleep(MARK)
+                    follow.mark()
+            except OSError:
                 avoid[address] = self.host.now() + 3
+                self.host.sleep(0.02)
+            except (Closed, TypeError, ValueError):
+                avoid[address] = self.host.now() + (1 if follow.link.closed else 3)
                 self.host.sleep(0.05)
-            link.close()
+            finally:
+                follow.close()
 
     def say_up(self, body) -> None:
-        open_ = [link for link in self.links if link is not None and not link.closed]
+        open_ = [follow for follow in self.follows if follow and follow.link and not follow.link.closed]
         if open_:
-            max(open_, key=lambda link: link.fresh_at).send("up", body)
+            max(open_, key=lambda follow: follow.fresh_at).link.send("up", body)
