An endpoint's sign-in, leaving and end are acknowledged once a quorum of the voters' disks holds them

Cause: a repeated first check-in or closing was no news to its refuge any more and was answered 200 without a majority; a sign-off of an unknown id was on no disk. Any refuges counted, spares and mute disks too, and a start went on with whatever books came within half a second. A late first check-in of an older life ended the owner of its address for good. A verdict that was learned by news was taken for a beat, and the endpoint stayed hidden when it beat again; news of a closing did not reach the book, and a later beat took it back. Change: a version is [rank, call_seq, phase]; the rank (serves, closes, ends) never falls, and records are joined field by field. Each record notes which rank this disk and a quorum's disks hold, by answers to this process alone; a call is answered well once its rank is there. Words carry the epoch of the voters and count by voters.met. A start waits for the books of a quorum, in portions; a disk that came back empty counts once it holds them. An address is that one's which was heard last, by a verdict that its next beat takes back.

--- a/flintreach/cairn/store.py
+++ b/flintreach/cairn/store.py
@@ -54,7 +54,7 @@
         if not facts:
             # Only a first start on an empty disk may vote at once: any other empty disk has lost something.
             rows = {"format": FORMAT, "node": self.node, "life": uuid.uuid4().hex[:12],
-                    "voting": "1" if first_run else "0"}
+                    "voting": "1" if first_run else "0", "books": "1" if first_run else "0"}
             base.execute("begin immediate")
             base.executemany("insert into facts values (?, ?)", rows.items())
             base.execute("commit")
--- a/flintreach/hutbook/book.py
+++ b/flintreach/hutbook/book.py
@@ -1,7 +1,11 @@
 """Endpoints as a refuge knows them from their beats; a state machine without input or output.
 
-A record's version is [call_seq, phase]: a later beat goes before any verdict on an earlier one.  Times are
-nanoseconds of the steady clock of this process.
+What is known of one life of an endpoint is its version: [rank, call_seq, phase], compared as it stands.
+The rank is what it has said of leaving, and never falls, whatever comes late or by another way; call_seq is
+its own count of its calls; the phase is a verdict of refuges on its silence, taken back by its next beat.
+Records of one id are joined field by field, so refuges that heard the same in any order know the same.
+
+Times are nanoseconds of the steady clock of this process.
 """
 
 from dataclasses import dataclass
@@ -9,10 +13,13 @@
 
 import msgspec
 
-MS = 1_000_000
+from flintreach.trail.board import HORIZON
+
+MS, SECOND = 1_000_000, 1_000_000_000
 READY, CLOSING, SILENT, GONE = "ready", "closing", "silent", "gone"
-LAST = 1 << 62  # the number behind which no beat comes: it has signed off
-MISSED, LOST = 2.7, 12  # report times without a beat: silent; forgotten
+SERVES, CLOSES, ENDS = 0, 1, 2  # ranks
+HEARD, MISSING, LOST = 0, 1, 2  # phases
+MISSED_BEATS, LOST_BEATS = 2.7, 12  # report times without a beat, for these verdicts
 
 
 class Beat(msgspec.Struct):
@@ -27,99 +34,177 @@
     edition: str = ""
     cold_left_ms: float = 0
 
+    @property
+    def rank(self) -> int:
+        return CLOSES if self.state == "closing" else SERVES
+
 
 @dataclass(slots=True)
 class Record:
-    """`state`, then what its last beat said; `cold_until` by this process's clock, 0 when warm."""
+    """One life of an endpoint; `cold_until` by this process's clock, 0 when warm.
+
+    `kept`, `durable`: the highest rank that this process's disk, and the disks of a quorum, surely hold; -1:
+    none.  Neither is told to others: they are what this process was answered itself.
+    """
 
     id: str
-    line: str
-    addr: str
-    zone: str
-    berths: int
-    edition: str
-    state: str = READY
+    line: str = ""
+    addr: str = ""
+    zone: str = ""
+    berths: int = 0
+    edition: str = ""
+    rank: int = SERVES
     seq: int = 0
-    phase: int = 0
+    phase: int = HEARD
     heard: int = 0
     cold_until: int = 0
+    over_at: int = 0  # when it was first known to be gone
+    kept: int = -1
+    durable: int = -1
+
+    @property
+    def state(self) -> str:
+        if self.rank == ENDS or self.phase == LOST:
+            return GONE
+        return CLOSING if self.rank == CLOSES else SILENT if self.phase == MISSING else READY
+
+    @property
+    def version(self) -> list[int]:
+        return [self.rank, self.seq, self.phase]
 
     def told(self, now: int) -> dict[str, Any]:
-        cold = max(0, self.cold_until - now) // MS
-        return {"line": self.line, "addr": self.addr, "zone": self.zone, "berths": self.berths,
-                "edition": self.edition, "state": self.state, "cold": cold}
+        return self.facts() | {"cold": max(0, self.cold_until - now) // MS}
 
+    def facts(self) -> dict[str, Any]:
+        """What is news when it changes."""
+        return {"line": self.line, "addr": self.addr, "zone": self.zone, "berths": self.berths,
+                "edition": self.edition, "state": self.state}
 
     def row(self, now: int) -> list:
         """As it is kept on disk and told to other refuges."""
         return [self.id, self.line, self.addr, self.zone, self.berths, self.edition, self.state, self.seq,
-                self.phase, max(0, self.cold_until - now)]
+                self.phase, max(0, self.cold_until - now), self.rank, max(0, now - self.over_at)]
+
+    @classmethod
+    def of(cls, row: list, now: int) -> "Record":
+        id, line, addr, zone, berths, edition, state, seq, phase, cold, *later = row
+        # Disks of earlier texts tell the rank by the state alone.
+        rank, over = later or ({CLOSING: CLOSES, GONE: ENDS}.get(state, SERVES), 0)
+        phase = min(phase, LOST)
+        return cls(id, line, addr, zone, berths, edition, rank, seq, phase, now, now + cold if cold else 0,
+                   now - over)
+
+    @classmethod
+    def of_news(cls, id: str, version: list[int], told: dict[str, Any], now: int, age: int) -> "Record":
+        rank, seq, phase = version
+        return cls(id, told["line"], told["addr"], told["zone"], told["berths"], told["edition"], rank, seq,
+                   phase, now, now + told["cold"] * MS if told["cold"] else 0, now - age)
 
 
 class Book:
     """`hear`, `leave` and `tick` return ids of the records of which others must hear."""
 
     def __init__(self, report_ms: float):
-        self.report, self.records, self.gone = int(report_ms * MS), {}, {}
+        self.report, self.records = int(report_ms * MS), {}
+        self.claims: dict[str, set[str]] = {}  # address -> ids of records there that are not gone
 
     def hear(self, id: str, beat: Beat, now: int, age: int = 0) -> list[str]:
         """A beat that came `age` nanoseconds ago, here or at another refuge."""
         held = self.records.get(id)
-        if id in self.gone or held is not None and beat.call_seq <= held.seq:
-            return []
-        state = CLOSING if beat.state == "closing" else READY
-        if held is not None and held.state == CLOSING:
-            state = CLOSING  # never back: it has been told that nothing more comes
+        if held is not None and (held.rank == ENDS or beat.call_seq <= held.seq):
+            # Late: it changes nothing.  But that it leaves has been said, and whoever is told that this was
+            # heard counts from then on: an order that others did not see must not take it back.
+            if held.rank >= beat.rank:
+                return []
+            held.rank = beat.rank
+            return [id]
         came = now - age
-        fresh = Record(id, beat.line, beat.addr, beat.zone, beat.berths, beat.edition, state, beat.call_seq,
-                       0, came, came + int(beat.cold_left_ms * MS) if beat.cold_left_ms > 0 else 0)
-        self.records[id] = fresh
-        if held is None:
-            # Its address may have been another's: that one has ended.
-            old = [r for r in self.records.values() if r.addr == beat.addr and r.id != id]
-            for record in old:
-                self.end(record, now)
-            return [id, *(record.id for record in old)]
-        same = (held.state, held.addr, held.zone, held.line, held.berths) == (
-            state, beat.addr, beat.zone, beat.line, beat.berths)
+        record = held or self.records.setdefault(id, Record(id))
+        before, cold_before = held and held.facts(), record.cold_until
+        self.unclaim(record)
+        record.line, record.addr, record.zone = beat.line, beat.addr, beat.zone
+        record.berths, record.edition = beat.berths, beat.edition
+        record.rank, record.seq, record.phase = max(record.rank, beat.rank), beat.call_seq, HEARD
+        record.heard = max(record.heard, came)
+        record.cold_until = came + int(beat.cold_left_ms * MS) if beat.cold_left_ms > 0 else 0
+        # Two that are alive can't have one address: it is that one's which was heard last, until the other
+        # is heard again.  A verdict alone, as this may be a late call of an older life.
+        rivals = sorted(self.claims.get(beat.addr, ()))
+        for other in rivals:
+            self.judge(self.records[other], LOST, now)
+        self.claim(record)
         # A cold time that only runs off is no news; one that begins anew, or is longer, is.
-        longer = fresh.cold_until > max(held.cold_until, now) + 200 * MS
-        return [] if same and not longer else [id]
+        longer = record.cold_until > max(cold_before, now) + 200 * MS
+        return ([id] if record.facts() != before or longer else []) + rivals
 
-    def restore(self, row: list, now: int) -> None:
-        """What a disk or another refuge holds; the later word stands.  Silence counts from now on."""
-        id, line, addr, zone, berths, edition, state, seq, phase, cold = row
-        held = self.records.get(id)
-        if held is None or (seq, phase) > (held.seq, held.phase):
-            self.records[id] = Record(id, line, addr, zone, berths, edition, state, seq, phase, now,
-                                      now + cold if cold else 0)
-            if phase == 3:
-                self.gone[id] = now
+    def claim(self, record: Record) -> None:
+        if record.state != GONE:
+            self.claims.setdefault(record.addr, set()).add(record.id)
+
+    def unclaim(self, record: Record) -> None:
+        ids = self.claims.get(record.addr, set())
+        ids.discard(record.id)
+        if not ids:
+            self.claims.pop(record.addr, None)
 
-    def end(self, record: Record, now: int) -> None:
-        record.state, record.seq, record.phase = GONE, LAST, 3
-        self.gone[record.id] = now
+    def judge(self, record: Record, phase: int, now: int) -> None:
+        record.phase = phase
+        if phase == LOST:
+            self.unclaim(record)
+            record.over_at = now
 
     def leave(self, id: str, now: int) -> list[str]:
-        record = self.records.get(id)
-        if record is None:
-            self.gone[id] = now
+        """A sign-off.  Of an id that was never heard of too: its beats may be on their way."""
+        record = self.records.setdefault(id, Record(id))
+        if record.rank == ENDS:
             return []
-        self.end(record, now)
+        self.unclaim(record)
+        record.rank, record.over_at = ENDS, now
         return [id]
 
+    def join(self, found: Record, now: int) -> None:
+        """What a disk or another refuge knows; of each field the later word stands."""
+        held = self.records.get(found.id)
+        if held is None and found.state == GONE and now - found.over_at >= HORIZON * SECOND:
+            return  # others are about to forget it
+        if held is None:
+            self.records[found.id] = found
+            self.claim(found)
+            return
+        self.unclaim(held)
+        was_gone = held.state == GONE
+        if (found.seq, found.phase) > (held.seq, held.phase):
+            held.line, held.addr, held.zone = found.line, found.addr, found.zone
+            held.berths, held.edition, held.cold_until = found.berths, found.edition, found.cold_until
+            if found.seq > held.seq:
+                held.heard = max(held.heard, found.heard)
+            held.seq, held.phase = found.seq, found.phase
+        if found.rank > held.rank:
+            held.rank, was_gone = found.rank, False
+        if held.state == GONE and not was_gone:
+            held.over_at = found.over_at
+        self.claim(held)
+
+    def excuse(self, now: int) -> None:
+        """This process could not hear for a while: silence counts from now on."""
+        for record in self.records.values():
+            record.heard = max(record.heard, now)
+
+    def forget(self, id: str) -> None:
+        self.unclaim(self.records.pop(id))
+
     def tick(self, now: int) -> list[str]:
-        """Verdicts on those that have fallen silent."""
+        """Verdicts on those that have fallen silent; those that are long gone are forgotten."""
         told = []
         for record in [*self.records.values()]:
             quiet = now - record.heard
             if record.state == GONE:
-                if now - self.gone.get(record.id, now) > 20 * self.report:
-                    del self.records[record.id]
-            elif quiet > LOST * self.report and record.phase < 2:
-                record.state, record.phase = GONE, 2  # a later beat still brings it back
+                if now - record.over_at >= HORIZON * SECOND:
+                    self.forget(record.id)
+            elif quiet > LOST_BEATS * self.report:
+                self.judge(record, LOST, now)
                 told.append(record.id)
-            elif quiet > MISSED * self.report and record.phase < 1 and record.state == READY:
-                record.state, record.phase = SILENT, 1
+            elif quiet > MISSED_BEATS * self.report and record.state == READY:
+                self.judge(record, MISSING, now)
                 told.append(record.id)
         return told
--- a/flintreach/refuge/care.py
+++ b/flintreach/refuge/care.py
@@ -68,8 +68,7 @@
             wanted = self.plane.enough() if first else len(self.plane.group)
             # At a start others may still be without power, and calls to them hang.
             if self.register.relearn() and self.compare(wanted, 0.3 if first else 1.0) and first:
-                first = False
-                self.plane.begin()
+                first = not self.plane.begin()
             self.host.sleep(0.05 if first else SWEEP_S * self.host.chance.uniform(0.8, 1.2))
 
     def compare(self, wanted: int, timeout: float) -> bool:
--- a/flintreach/refuge/endpoints.py
+++ b/flintreach/refuge/endpoints.py
@@ -1,13 +1,26 @@
-"""Endpoints at a refuge: their calls, who must know of them before they are answered, verdicts, the disk."""
+"""Endpoints at a refuge: their calls, who must know of them before they are answered, verdicts, the disk.
+
+Three facts about an endpoint outlive any loss within bounds: that it signed in, that it leaves, that it has
+ended.  A call that tells one is answered well only when the disks of a quorum of the voters hold it; a record
+notes what a quorum is known to hold (`durable`), by answers to this process alone.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Any
 
 import msgspec
 
-from flintreach.hutbook.book import CLOSING, GONE, READY, Beat, Book
+from flintreach.cairn.voters import Voters
+from flintreach.hutbook.book import ENDS, GONE, MISSING, READY, SECOND, Beat, Book, Record
+from flintreach.rope.host import Task
+from flintreach.trail.board import MOST_ROWS, STALE_BOARD
 
 PACK, UNPACK = msgspec.msgpack.encode, msgspec.msgpack.decode
 ACK_S = 0.85  # callers move on after a second
 ALONE_S = 1.2  # without a word from a majority, a refuge takes no beats
+COLLECT_S = 0.5  # for the books of a quorum: machines without power are not waited for
 LOOK_S = 0.25
+COMPLETE = "books"  # fact on disk: "1" once it holds what a quorum held when it was empty
 
 
 class Endpoints:
@@ -16,92 +29,256 @@
     def __init__(self, plane, report_ms: float):
         self.plane, self.host, self.store = plane, plane.host, plane.store
         self.book = Book(report_ms)
+        self.blind = self.behind = False  # out of touch of late; for so long that tombstones were missed
+        now = self.host.now_ns()
         for row in self.store.huts.values() if self.store else ():
-            self.book.restore(UNPACK(row), self.host.now_ns())
-        self.kept: set[str] = {*self.book.records}  # endpoints that may stand on this disk
+            record = Record.of(UNPACK(row), now)
+            record.kept = record.rank
+            self.book.join(record, now)
+        # A disk that came back empty may lack what it had told others that it holds.
+        told = self.store.facts.get(COMPLETE, "1" if self.store.voting else "0") if self.store else "0"
+        self.complete = told == "1"
+        self.on_disk: set[str] = {*self.store.huts} if self.store else set()
         plane.bundle.handlers |= {"beat": self.on_beat, "leave": self.on_leave, "book": self.on_book}
 
-    def offer(self, ids: list[str]) -> bool:
-        """Tell what is new of some endpoints, and whether it is on this disk: that one leaves must be known
-        after all power was lost."""
-        now, rows = self.host.now_ns(), {}
-        for id in ids:
-            record = self.book.records.get(id)
-            if record is not None:
-                self.plane.board.offer(f"hut/{id}", [record.seq, record.phase], record.told(now))
-                rows[id] = PACK(record.row(now))
-        return not rows or self.store is None or self.store.keep({}, None, rows)
-
-    def spread_word(self, kind: str, body, urgent: bool) -> bool:
-        """Tell the other refuges; where it is urgent, whether a majority knows."""
-        bundle, peers = self.plane.bundle, self.plane.peers()
-        if not urgent:
-            for address in peers:
-                self.host.spawn(bundle.ask, address, kind, body, 1.0)
-            return True
-        need = self.plane.enough() - 1
-        if need <= 0:
+    # What is told to others and kept on this disk.
+
+    def offer(self, ids: Iterable[str]) -> bool:
+        """Tell what is new of some endpoints, and whether it is on this disk."""
+        now, known = self.host.now_ns(), [id for id in ids if id in self.book.records]
+        for id in known:
+            record = self.book.records[id]
+            self.plane.board.offer(f"hut/{id}", record.version, record.told(now),
+                                   (now - record.over_at) / SECOND if record.state == GONE else 0.0)
+        return self.write(known)
+
+    def write(self, ids: list[str], facts: dict[str, str] | None = None) -> bool:
+        """Whether this disk holds some records as they are now."""
+        if self.store is None:
+            return False
+        now, records = self.host.now_ns(), [self.book.records[id] for id in ids]
+        ranks = [record.rank for record in records]
+        rows = {record.id: PACK(record.row(now)) for record in records}
+        self.on_disk |= rows.keys()
+        if (rows or facts) and not self.store.keep({}, facts, rows):
+            return False
+        for record, rank in zip(records, ranks):
+            record.kept = max(record.kept, rank)
+        return True
+
+    def hold(self, id: str, rank: int) -> bool:
+        """Whether this disk holds that an endpoint is at least at a rank."""
+        record = self.book.records.get(id)
+        return record is not None and (record.kept >= rank or self.write([id]) and record.kept >= rank)
+
+    # What a quorum of the voters holds.
+
+    def poll(self, ask: Callable[[tuple, int, float], Any], mine: Callable[[], Any],
+             timeout: float) -> dict[tuple[str, int], Any] | None:
+        """Answers of a quorum of the voters, all given under one epoch; None: not within `timeout` seconds.
+
+        `ask(address, epoch, seconds)`: a voter's answer; `mine()`: this one's, if it votes.  None is none.
+        """
+        until, register = self.host.now() + timeout, self.plane.register
+        while self.host.now() < until and register.group:
+            voters = register.voters
+            if (answers := self.round(voters, ask, mine, until)) is not None:
+                return answers
+            if register.voters is voters:
+                return None  # not for a later epoch
+        return None
+
+    def round(self, voters: Voters, ask, mine, until: float) -> dict[tuple[str, int], Any] | None:
+        host, register, me = self.host, self.plane.register, self.plane.bundle.address
+        answers, done, open_ = {}, host.event(), len(voters.members())
+
+        def one(address: tuple[str, int]) -> None:
+            nonlocal open_
+            answer = None
+            if address == me:
+                answer = mine() if register.votes() else None
+            else:
+                while register.voters is voters and (left := until - host.now()) > 0:
+                    answer = ask(address, voters.epoch, left)
+                    if not register.heed(address, answer):
+                        break
+                    answer = None
+                    host.sleep(0.01)  # it knows an earlier epoch, and is learning ours
+            open_ -= 1
+            if answer is not None:
+                answers[address] = answer
+            if not open_ or register.voters is not voters or voters.met(answers):
+                done.set()
+
+        for address in voters.members():
+            host.spawn(one, address)
+        done.wait(max(0.0, until - host.now()))
+        return {**answers} if register.voters is voters and voters.met(answers) else None
+
+    def settle(self, id: str, rank: int, kind: str, body: Any, kept: Task) -> bool:
+        """Whether the disks of a quorum hold that an endpoint is at least at a rank.  `kept`: what is being
+        written here of it."""
+        record, bundle = self.book.records[id], self.plane.bundle
+        if record.durable >= rank:
             return True
-        return len(bundle.gather(peers, kind, body, lambda got: len(got) >= need, ACK_S)) >= need
+        answers = self.poll(lambda address, epoch, left: bundle.ask(address, kind, [epoch, *body], left),
+                            lambda: (kept.result(ACK_S), self.hold(id, rank) or None)[1], ACK_S)
+        if answers is None:
+            return False
+        record.durable = max(record.durable, rank)
+        return True
+
+    def spread(self, kind: str, body: list, others: Iterable[tuple[str, int]]) -> None:
+        for address in others:
+            self.host.spawn(self.plane.bundle.ask, address, kind, [None, *body], 1.0)
+
+    # Calls.
 
     def beat(self, id: str, beat: Beat) -> bool:
         # Alone this refuge must not keep endpoints to itself: the others would call them silent.
         if self.plane.news_age() > ALONE_S:
             return False
-        held = self.book.records.get(id)
-        news = held is None or (beat.state == "closing" and held.state != CLOSING)
         kept = self.host.spawn(self.offer, self.book.hear(id, beat, self.host.now_ns()))
-        # Who has been told that an endpoint leaves must not be the only one to know.
-        told = self.spread_word("beat", [id, msgspec.to_builtins(beat)], news)
-        return told and (not news or bool(kept.result(ACK_S)))
-
-    def on_beat(self, link, body) -> bool | None:
-        beat = msgspec.convert(body[1], Beat)
-        return self.offer(self.book.hear(body[0], beat, self.host.now_ns())) or None
+        record, body = self.book.records[id], [id, msgspec.to_builtins(beat)]
+        if record.rank == ENDS:
+            return self.leave(id)  # a late call: acknowledged once nothing can bring it back
+        if record.durable >= beat.rank:
+            self.spread("beat", body, self.plane.peers())
+            return True
+        self.spread("beat", body, {*self.plane.peers()} - {*self.plane.group})
+        return self.settle(id, beat.rank, "beat", body, kept)
 
     def leave(self, id: str) -> bool:
         kept = self.host.spawn(self.offer, self.book.leave(id, self.host.now_ns()))
-        return self.spread_word("leave", id, True) and bool(kept.result(ACK_S))
+        self.spread("leave", [id], {*self.plane.peers()} - {*self.plane.group})
+        return self.settle(id, ENDS, "leave", [id], kept)
 
-    def on_leave(self, link, id) -> bool | None:
-        return self.offer(self.book.leave(id, self.host.now_ns())) or None
+    # Other refuges' words: [epoch of the voters, or None where no answer is counted, ...].
+
+    def other_epoch(self, epoch: int | None) -> list | None:
+        return None if epoch is None else self.plane.register.check(epoch)
+
+    def answer(self, epoch: int | None, id: str, rank: int, ids: list[str]) -> bool | None:
+        self.offer(ids)
+        if epoch is None or not self.plane.register.votes():
+            return None
+        return self.hold(id, rank) or None
+
+    def on_beat(self, link, body):
+        epoch, id, told = body
+        if (later := self.other_epoch(epoch)) is not None:
+            return later
+        beat = msgspec.convert(told, Beat)
+        return self.answer(epoch, id, beat.rank, self.book.hear(id, beat, self.host.now_ns()))
+
+    def on_leave(self, link, body):
+        epoch, id = body
+        if (later := self.other_epoch(epoch)) is not None:
+            return later
+        return self.answer(epoch, id, ENDS, self.book.leave(id, self.host.now_ns()))
 
     def on_book(self, link, body):
-        """What this refuge knows of endpoints, for one that starts; one that lost its disk knows nothing."""
-        if not self.plane.register.votes():
+        """A portion of what this refuge knows of endpoints: [rows, the id to go on behind ("": that was all),
+        whether it is at work]; None from one whose disk may lack what it once held."""
+        epoch, after = body
+        if (later := self.other_epoch(epoch)) is not None:
+            return later
+        if not self.plane.register.votes() or not self.complete:
             return None
         now = self.host.now_ns()
-        return [record.row(now) for record in self.book.records.values()]
+        ids = sorted(id for id in self.book.records if id > after)[:MOST_ROWS]
+        return [[self.book.records[id].row(now) for id in ids], ids[-1] if len(ids) == MOST_ROWS else "",
+                self.plane.news_age() <= ALONE_S]
+
+    # What others know.
+
+    def ask_book(self, address: tuple[str, int], epoch: int, timeout: float):
+        """All rows of a voter's book and whether it is at work, or its answer to another epoch, or None."""
+        until, rows, after = self.host.now() + timeout, [], ""
+        while (left := until - self.host.now()) > 0:
+            answer = self.plane.bundle.ask(address, "book", [epoch, after], left)
+            if not isinstance(answer, list) or len(answer) != 3:
+                return answer
+            part, after, at_work = answer
+            rows += part
+            if not after:
+                return [rows, at_work]
+        return None
+
+    def collect(self, timeout: float = COLLECT_S) -> bool:
+        """Take in the books of a quorum of the voters; whether all of it is on this disk.
+
+        At a start, and whenever this disk comes to vote: a fact that was acknowledged before must be on a
+        quorum of those that vote now.
+        """
+        answers = self.poll(self.ask_book, lambda: [[], False] if self.complete else None, timeout)
+        if answers is None:
+            return False
+        now, at_work = self.host.now_ns(), set()
+        for rows, works in answers.values():
+            for row in rows:
+                self.book.join(Record.of(row, now), now)
+            at_work |= {row[0] for row in rows} if works else set()
+        if any(works for _, works in answers.values()) and (self.behind or not self.plane.serving):
+            # What those who were at work all the while have forgotten may only be an old disk's: if such a
+            # one lives, its next beat brings it back.
+            for id in self.book.records.keys() - at_work:
+                if self.book.records[id].state == READY:
+                    self.book.judge(self.book.records[id], MISSING, now)
+        lacking = [id for id, record in self.book.records.items() if record.kept < record.rank]
+        if self.store is None:
+            return True
+        if (lacking or not self.complete) and not self.write(lacking, {COMPLETE: "1"}):
+            return False
+        self.complete = True
+        return True
+
+    def begin(self) -> bool:
+        """Before others may call: whether what a quorum knows of endpoints is known here."""
+        if not self.collect():
+            return False
+        self.book.excuse(self.host.now_ns())
+        self.offer([*self.book.records])
+        return True
+
+    def heard_of(self, id: str, version: list[int], value: dict, age: float = 0.0) -> None:
+        """News of another refuge.  Where this one knows better, it says so: its beats may be later than a
+        verdict of one that hears nothing, and were no news before."""
+        now = self.host.now_ns()
+        self.book.join(Record.of_news(id, version, value, now, int(age * SECOND)), now)
+        record = self.book.records.get(id)
+        if record is not None and record.facts() != {name: value[name] for name in record.facts()}:
+            self.offer([id])
 
     def look(self) -> None:
+        looked = self.host.now()
         while True:
             self.host.sleep(LOOK_S)
-            self.offer(self.book.tick(self.host.now_ns()))
-            old = dict.fromkeys(self.kept - self.book.records.keys(), b"")
-            if old and self.store and self.store.keep({}, None, old):
-                self.kept -= old.keys()
-            self.kept |= self.book.records.keys()
-
-    def begin(self) -> None:
-        """Before others may call: what a majority knows of endpoints."""
-        need, plane = self.plane.enough() - 1, self.plane
-        now, others = self.host.now_ns(), [a for a in plane.group if a != plane.bundle.address]
-        for _, rows in plane.bundle.gather(others, "book", None, lambda got: len(got) >= need, 0.5):
-            for row in rows:
-                self.book.restore(row, now)
-        self.offer([*self.book.records])
+            slept, looked = self.host.now() - looked, self.host.now()
+            self.turn(max(slept - LOOK_S, self.plane.contact_age()))
+            self.plane.forget_left()
 
-    def heard_of(self, id: str, version, value) -> None:
-        """News of another refuge: one that has just started knows them by others' word until they beat."""
-        held = self.book.records.get(id)
-        if held is None and value["state"] != GONE and version[0] < 1 << 60:
-            beat = Beat(value["line"], value["addr"], value["zone"], value["berths"],
-                        "closing" if value["state"] == CLOSING else READY, version[0], value["edition"],
-                        value["cold"])
-            self.book.hear(id, beat, self.host.now_ns())
-        elif value["state"] == GONE and version[0] >= 1 << 60:
-            self.book.leave(id, self.host.now_ns())
+    def turn(self, deaf: float) -> None:
+        """Verdicts on others, by one who was in touch until `deaf` seconds ago."""
+        now = self.host.now_ns()
+        if deaf > ALONE_S:
+            self.blind = True  # beats went elsewhere, or lie unread: its silence is not theirs
+            self.behind |= self.plane.serving and deaf > STALE_BOARD
+        elif self.behind:
+            # Others may have forgotten tombstones that it never saw: it starts anew, from their books.
+            if self.collect():
+                self.behind = False
+                self.offer([*self.book.records])
+        elif self.blind:
+            self.blind = False
+            self.book.excuse(now)
+        else:
+            self.offer(self.book.tick(now))
+        old = dict.fromkeys(self.on_disk - self.book.records.keys(), b"")
+        if old and self.store and self.store.keep({}, None, old):
+            self.on_disk -= old.keys() - self.book.records.keys()  # it may have come back meanwhile
 
     def ended(self, id: str) -> bool:
+        """Whether an endpoint has signed off, within the time that this is remembered."""
         record = self.book.records.get(id)
-        return id in self.book.gone and (record is None or record.phase == 3)
+        return record is not None and record.rank == ENDS
--- a/flintreach/refuge/plane.py
+++ b/flintreach/refuge/plane.py
@@ -61,10 +61,19 @@
         """Refuges that must know, this one among them, so that no loss within bounds takes it from all."""
         return len(self.group) // 2 + 1
 
+    def forget_left(self) -> None:
+        """Keep no links to refuges that have left: a fleet may change all its machines in time."""
+        known = {member.address for member in self.roster.members.values()} | {*self.group, *self.seeds()}
+        for address in self.bundle.locks.keys() - known:
+            self.bundle.forget(address)
+
     def news_age(self) -> float:
-        """Seconds since this refuge surely knew what stands; a day before its start is over."""
-        if not self.serving:
-            return 86400.0
+        """Seconds since this refuge surely knew what stands; a day before its start is over, and while it
+        catches up after a long time out of touch."""
+        return 86400.0 if not self.serving or self.endpoints.behind else self.contact_age()
+
+    def contact_age(self) -> float:
+        """Seconds since a majority was last heard."""
         return self.host.now() - max(self.care.majority_at, self.care.touched())
 
     def on_parcel(self, key: str, version, value) -> None:
@@ -75,11 +84,13 @@
         """Zones that are evacuated."""
         return {zone for zone, on in (self.board.get("evac") or {}).items() if on}
 
-    def begin(self) -> None:
-        """What stands is known, of endpoints too: others may call."""
-        self.endpoints.begin()
+    def begin(self) -> bool:
+        """What stands in the register is known.  Whether that of endpoints is too: then others may call."""
+        if not self.endpoints.begin():
+            return False
         self.serving = True
         self.on_begin()
+        return True
 
     def start(self) -> None:
         self.relay.start()
