--- a/flintreach/trail/board.py
+++ b/flintreach/trail/board.py
@@ -114,13 +114,16 @@
         """One hash for each bucket: always 8 * BUCKETS bytes."""
         return self.sums.tobytes()
 
-    def differing(self, digest: bytes) -> list[int]:
-        """Buckets in which one who told `digest` holds something else.  Raises ValueError."""
+    def compare(self, digest: bytes) -> tuple[list[int], list[Row]]:
+        """What one who told `digest` is to tell key by key: buckets in which it holds something else; and a
+        portion of those in which it holds nothing, of which nothing need be told.  Raises ValueError."""
         theirs = array("Q")
         theirs.frombytes(digest)
         if len(theirs) != BUCKETS:
             raise ValueError(f"digest of {len(digest)} bytes, expected {8 * BUCKETS}")
-        return [bucket for bucket in range(BUCKETS) if theirs[bucket] != self.sums[bucket]]
+        differing = [bucket for bucket in range(BUCKETS) if theirs[bucket] != self.sums[bucket]]
+        rows, done = self.missing({bucket: {} for bucket in differing if not theirs[bucket]})
+        return sorted({*differing} - {*done}), rows
 
     def versions(self, buckets: Iterable[int], most: int = MOST_ROWS) -> dict[int, dict[str, Any]]:
         """What is held in the first of some buckets, key by key: about `most` keys, one bucket at least."""
--- a/flintreach/trail/relay.py
+++ b/flintreach/trail/relay.py
@@ -33,6 +33,7 @@
                  take: Callable[[Iterable[Row]], None] | None = None):
         self.host, self.board, self.address, self.take = host, board, address, take or board.take
         self.link: Link | None = None
+        self.snapshot: Board | None = None  # what is to take the board's place, while it comes
         self.fresh_at, self.answered_at, self.began = NEVER, NEVER, host.now()
 
     def begin(self, renew: bool = False, oldest: float = 1e9) -> bool:
@@ -44,34 +45,38 @@
         self.link = self.host.dial(self.address, {"news": self.on_news}, DIAL_S)
         held = Board(self.board.clock) if renew else self.board
         if renew:
+            self.snapshot = held
             self.board.watchers.append(held.offer)  # what comes by other ways meanwhile is newer
         try:
             asked_at = self.host.now()
-            buckets, age = self.link.ask("follow", held.digest(), ASK_S)
+            age, buckets, rows = self.link.ask("follow", held.digest(), ASK_S)
             if age > oldest:
                 return False
-            whole = not buckets
+            take = held.take if renew else self.take
+            take(rows)
             while buckets:
                 rows, done = self.link.ask("lack", held.versions(buckets), ASK_S)
                 if not rows and not done:
                     raise ValueError("a portion with nothing in it")
-                (held.take if renew else self.take)(rows)
+                take(rows)
                 buckets = [bucket for bucket in buckets if bucket not in done]
             if renew:
                 self.take(held.rows())
                 self.board.keep_only(held)
         finally:
             if renew:
+                self.snapshot = None
                 self.board.watchers.remove(held.offer)
         self.began = self.host.now()
-        if whole:
-            self.fresh_at, self.answered_at = asked_at - age, asked_at
-        else:
+        self.fresh_at, self.answered_at = asked_at - age, asked_at
+        if self.began - asked_at > STALE / 2:
             self.mark()  # a long snapshot would count as old news right after it came
         return True
 
     def on_news(self, link: Link, rows: list[Row]) -> None:
         if link is self.link and not link.closed:
+            if self.snapshot is not None:
+                self.snapshot.take(rows)  # also what the board holds already: it is no news there
             self.take(rows)
 
     def mark(self) -> None:
@@ -100,6 +105,7 @@
         self.fresh_at, self.root_age = NEVER, root_age  # a refuge knows by itself how old its news may be
         self.follows: list[Follow | None] = [None] * PARENTS
         self.taken: list = [None] * PARENTS  # addresses that each climber keeps to
+        self.renewing = False  # a snapshot is coming: a second one beside it would drop what the first brings
         self.told = told or (lambda body: None)  # what a child says upward
         bundle.handlers |= {"follow": self.on_follow, "lack": lambda link, told: [*self.board.missing(told)],
                             "mark": lambda link, body: self.age(),
@@ -129,7 +135,7 @@
         if link not in self.children:
             link.on_close.append(lambda link: self.children.pop(link, None))
             self.children[link] = True
-        return [self.board.differing(digest), self.age()]
+        return [self.age(), *self.board.compare(digest)]
 
     def spread(self, key, version, value) -> None:
         for link in [*self.children]:
@@ -153,9 +159,19 @@
                 self.host.sleep(0.05 if not place else 0.5)
                 continue
             avoid = {other: until for other, until in avoid.items() if until > self.host.now()}
+            renew = self.age() > STALE_BOARD
+            if renew and self.renewing:
+                self.host.sleep(0.02)
+                continue
+            self.renewing |= renew
             self.follows[place] = follow = Follow(self.host, self.board, address)
             try:
-                if not follow.begin(self.age() > STALE_BOARD, STALE):  # it has just started, or is cut off
+                try:
+                    fresh = follow.begin(renew, STALE)
+                    self.fresh_at = max(self.fresh_at, follow.fresh_at)
+                finally:
+                    self.renewing &= not renew
+                if not fresh:  # it has just started, or is cut off
                     avoid[address] = self.host.now() + 0.3
                     self.host.sleep(0.03)
                     continue
--- a/tests/test_system_endpoints.py
+++ b/tests/test_system_endpoints.py
@@ -74,7 +74,7 @@
             self.clock.at += timeout
             raise Closed
         body, age = UNPACK(PACK(body)), self.age
-        answer = {"follow": lambda: [self.parent.differing(body), age], "mark": lambda: age,
+        answer = {"follow": lambda: [age, *self.parent.compare(body)], "mark": lambda: age,
                   "lack": lambda: [*self.parent.missing(body)]}[kind]()
         self.clock.at += self.slow
         self.asked.append(kind)
@@ -130,10 +130,30 @@
         self.assertLess(sum(link.sizes), 8 * BUCKETS + 64)
         self.parent.offer("hut/i-5", [9, 0], hut("closing"))
         _, link = self.follow()
-        self.assertEqual(link.asked, ["follow", "lack", "mark"])
+        self.assertEqual(link.asked, ["follow", "lack"])
         self.assertLess(sum(link.sizes), 8 * BUCKETS + 1024)
         self.assertEqual(self.child.get("hut/i-5")["state"], "closing")
 
+    def test_one_that_holds_nothing_has_all_of_a_small_board_with_the_first_answer(self):
+        for number in range(200):
+            self.parent.offer(f"hut/i-{number}", [number, 0], hut())
+        _, link = self.follow()
+        self.assertEqual((link.asked, self.child.parcels), (["follow"], self.parent.parcels))
+
+    def test_a_long_snapshot_is_followed_by_a_mark(self):
+        for number in range(900):
+            self.parent.offer(f"hut/i-{number}", [number, 0], hut())
+        dial = self.clock.dial
+
+        def slow(*args):
+            link = dial(*args)
+            link.slow = 0.9
+            return link
+        self.clock.dial = slow
+        follow, link = self.follow()
+        self.assertEqual(link.asked, ["follow", "lack", "mark"])
+        self.assertAlmostEqual(self.clock.at - follow.fresh_at, 0.9)
+
     def test_an_answer_that_lay_in_a_buffer_while_the_process_slept_is_not_fresh(self):
         follow, link = self.follow()
         link.slow = 30.0
@@ -221,12 +241,15 @@
         def busy(*args):
             link = dial(*args)
             ask = link.ask
-            link.ask = lambda kind, *rest: (kind == "lack" and self.b.offer("hut/x", [1, 0], hut()),
-                                            ask(kind, *rest))[1]
+            link.ask = lambda kind, *rest: (self.b.offer("hut/x", [1, 0], hut()),
+                                            link.handlers["news"](link, [["hut/y", [1, 0], hut(), 0.0]]),
+                                            ask(kind, *rest))[2]
             return link
         self.clock.dial = busy
+        self.b.offer("hut/y", [1, 0], hut())  # told to the board before, by another parent
+        self.b.offer("hut/z", [1, 0], hut())
         self.spread(self.a, self.b, renew=True)
-        self.assertEqual(sorted(self.b.parcels), ["hut/a", "hut/x"])
+        self.assertEqual(sorted(self.b.parcels), ["hut/a", "hut/x", "hut/y"])
         self.assertFalse(self.b.watchers)
 
     def test_a_bothy_forgets_what_is_dropped(self):
@@ -485,6 +508,22 @@
         self.assertEqual(behind[1].register.voters, behind.voters)
 
 
+    def test_news_that_come_while_a_call_waits_are_kept_and_not_acknowledged_with_it(self):
+        net = Net()
+        ask = Refuge.ask
+
+        def later(refuge, *args):
+            net[0].hear(["hut/e", [CLOSES, 6, 0], hut("closing"), 0.0])
+            return ask(refuge, *args)
+        with mock.patch.object(Refuge, "ask", later):
+            self.assertTrue(net[0].call("e", 5))
+        record = net[0].book.records["e"]
+        self.assertEqual((net[0].state("e"), record.version), ((CLOSING, CLOSING), [CLOSES, 6, 0]))
+        self.assertEqual(record.durable, SERVES)
+        net.part(0)
+        self.assertFalse(net[0].call("e", 6, "closing"))
+
+
 class Starts(unittest.TestCase):
     def test_one_waits_for_the_books_of_a_quorum_and_serves_no_sooner(self):
         net = Net(5)
--- a/tests/test_system_parts.py
+++ b/tests/test_system_parts.py
@@ -350,7 +350,8 @@
             parent.offer(f"hut/{number}", [number, 0], {"n": number})
         child.offer("hut/1", [1, 0], {"n": 1})
         child.offer("hut/2", [1, 0], None)
-        rows, _ = parent.missing(child.versions(parent.differing(child.digest())))
+        buckets, rows = parent.compare(child.digest())
+        rows += parent.missing(child.versions(buckets))[0]
         self.assertEqual(sorted(row[0] for row in rows), ["hut/0", "hut/2", "hut/3"])
         child.take(rows)
         self.assertEqual((child.digest(), child.parcels), (parent.digest(), parent.parcels))
