--- a/tests/test_system_endpoints.py
+++ b/tests/test_system_endpoints.py
@@ -946,7 +946,7 @@
     played.end()
 
 
-class Orders_(unittest.TestCase):
+class Convergence(unittest.TestCase):
     @CALM
     @given(STEPS)
     def test_any_order_of_messages_converges_and_keeps_what_was_acknowledged(self, steps):
