Cases on news go by the relay's own handlers, pushes too

Need: the links of the cases answered by text of their own; what a relay answers was not played. Change: they lead to a Relay; a case on pushes and on what a closed link left in a buffer.

--- a/tests/test_system_endpoints.py
+++ b/tests/test_system_endpoints.py
@@ -35,17 +35,17 @@
 from flintreach.rope.bundle import Bundle
 from flintreach.rope.link import Closed
 from flintreach.trail.board import BUCKETS, HORIZON, MOST_BYTES, MOST_ROWS, STALE_BOARD, Board
-from flintreach.trail.relay import MARK, STALE, Follow
+from flintreach.trail.relay import MARK, STALE, Follow, Relay
 from flintreach.waymark.settings import Bounds
 
 PACK, UNPACK = msgspec.msgpack.encode, msgspec.msgpack.decode
 
 
 class Clock:
-    """A host with a clock by hand, whose links lead to boards."""
+    """A host with a clock by hand, whose links lead to boards with their relays."""
 
     def __init__(self):
-        self.at, self.boards, self.links = 1000.0, {}, []
+        self.at, self.relays, self.links = 1000.0, {}, []
 
     def now(self):
         return self.at
@@ -53,36 +53,42 @@
     def now_ns(self):
         return int(self.at * 1e9)
 
-    def board(self, name):
-        self.boards[name] = Board(self.now)
-        return self.boards[name]
+    def board(self, name, board=None):
+        board = board or Board(self.now)
+        self.relays[name] = Relay(mock.Mock(handlers={}, host=self), board)
+        return board
 
     def dial(self, address, handlers, timeout):
-        self.links.append(Wire(self, self.boards[address], handlers))
+        self.links.append(Wire(self, self.relays[address], handlers))
         return self.links[-1]
 
 
 class Wire:
-    """A link that carries at once; `slow` seconds an answer, `cut`: the answers' way is cut."""
+    """A link that carries at once; `slow` seconds an answer, `cut`: the answers' way is cut, `age`: of the
+    parent's news."""
 
-    def __init__(self, clock, board, handlers):
-        self.clock, self.parent, self.handlers = clock, board, handlers
+    def __init__(self, clock, relay, handlers):
+        self.clock, self.relay, self.handlers, self.on_close = clock, relay, handlers, []
         self.closed, self.age, self.slow, self.cut, self.asked, self.sizes = False, 0.0, 0.0, False, [], []
 
     def ask(self, kind, body, timeout):
         if self.cut:
             self.clock.at += timeout
             raise Closed
-        body, age = UNPACK(PACK(body)), self.age
-        answer = {"follow": lambda: [age, *self.parent.compare(body)], "mark": lambda: age,
-                  "lack": lambda: [*self.parent.missing(body)]}[kind]()
+        self.relay.root_age = lambda: self.age
+        answer = self.relay.bundle.handlers[kind](self, UNPACK(PACK(body)))
         self.clock.at += self.slow
         self.asked.append(kind)
         self.sizes += [len(PACK(body)), len(PACK(answer))]
         return UNPACK(PACK(answer))
 
+    def send(self, kind, body):
+        self.handlers[kind](self, UNPACK(PACK(body)))
+
     def close(self):
         self.closed = True
+        for told in self.on_close:
+            told(self)
 
 
 def hut(state="ready", addr="10.0.0.9:80"):
@@ -125,9 +131,10 @@
         for number in range(3000):
             for board in (self.parent, self.child):
                 board.offer(f"hut/i-{number}", [number, 0], hut())
-        _, link = self.follow()
+        follow, link = self.follow()
         self.assertEqual(link.asked, ["follow"])
         self.assertLess(sum(link.sizes), 8 * BUCKETS + 64)
+        follow.close()
         self.parent.offer("hut/i-5", [9, 0], hut("closing"))
         _, link = self.follow()
         self.assertEqual(link.asked, ["follow", "lack"])
@@ -172,6 +179,19 @@
             follow.mark()
         self.assertLessEqual(self.clock.at - heard, STALE + 1e-6)
 
+    def test_what_is_new_is_pushed_until_the_link_ends(self):
+        self.parent.offer("hut/a", [1, 0, 0], hut())
+        follow, link = self.follow()
+        self.parent.offer("hut/a", [1, 3, 0], hut("closing"))
+        self.assertEqual(self.child.get("hut/a")["state"], "closing")
+        self.parent.offer("hut/a", [2, 3, 0], hut("gone"), 40.0)
+        self.assertEqual(self.child.age("hut/a"), 40.0)
+        follow.close()
+        self.parent.offer("hut/b", [0, 1, 0], hut())
+        self.assertEqual(([*self.child.parcels], self.clock.relays["parent"].children), (["hut/a"], {}))
+        link.handlers["news"](link, [["hut/c", [0, 1, 0], hut(), 0.0]])  # what its end left in a buffer
+        self.assertNotIn("hut/c", self.child.parcels)
+
     def test_a_parent_with_old_news_is_not_taken(self):
         follow = Follow(self.clock, self.child, "parent")
         self.parent.offer("hut/a", [1, 0], hut())
@@ -192,7 +212,9 @@
         self.a, self.b = self.clock.board("a"), self.clock.board("b")
 
     def spread(self, one, other, **options):
-        Follow(self.clock, other, next(n for n, b in self.clock.boards.items() if b is one)).begin(**options)
+        follow = Follow(self.clock, other, next(n for n, r in self.clock.relays.items() if r.board is one))
+        follow.begin(**options)
+        follow.close()
 
     def test_one_stands_for_the_horizon_wherever_it_is_told(self):
         self.a.offer("hut/e", [1, 0], hut())
@@ -250,7 +272,7 @@
         self.b.offer("hut/z", [1, 0], hut())
         self.spread(self.a, self.b, renew=True)
         self.assertEqual(sorted(self.b.parcels), ["hut/a", "hut/x", "hut/y"])
-        self.assertFalse(self.b.watchers)
+        self.assertEqual(self.b.watchers, [self.clock.relays["b"].spread])
 
     def test_a_bothy_forgets_what_is_dropped(self):
         board = Board(self.clock.now)
@@ -319,8 +341,10 @@
 
     def follow(self, board):
         """A bothy's board comes up to the first refuge's."""
-        self.boards["first"] = self[0].board
-        Follow(self, board, "first").begin()
+        self.board("first", self[0].board)
+        follow = Follow(self, board, "first")
+        follow.begin()
+        follow.close()
 
     def carry(self):
         """All news to everybody who is reached, until there are none."""
@@ -918,11 +942,13 @@
                 self.start(refuge)
                 assert refuge.serving, "no start though all are there"
         for one in net:  # links that broke come up again, and what was missed is asked for
-            net.boards[one.address] = one.board
+            net.board("one", one.board)
             for other in net:
                 if other is not one:
-                    Follow(net, other.board, one.address,
-                           lambda rows, other=other: [other.hear(row) for row in rows]).begin()
+                    follow = Follow(net, other.board, "one",
+                                    lambda rows, other=other: [other.hear(row) for row in rows])
+                    follow.begin()
+                    follow.close()
         net.carry()
         for number in (0, 2):
             self.seqs[number] += 1
