One number, one content: the register keeps which content each edition had

Cause: a refuge acknowledged any configuration at or below the edition that stands. Two bodies that differ under one edition, put at two refuges, were answered 200 and 200, and the second one's content was nowhere. Change: the register's value is [body, history], the history sorted pairs of number and digest, the 2,048 highest. The same content is acknowledged again by any refuge, another one is answered 409; one that is overtaken is noted before it is acknowledged; below a full history there is 503, no clear word. Earlier values, which are JSON, are read. News carry the body alone. An edition is eight plain hexadecimal digits: int took signs.

--- a/flintreach/cairn/offline.py
+++ b/flintreach/cairn/offline.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from flintreach.cairn.store import FORMAT, StoreError
+from flintreach.waymark.timetable import Standing
 
 UNPACK = msgspec.msgpack.decode
 
@@ -20,7 +21,7 @@
         return "promised, nothing accepted"
     try:
         if key == "timetable":
-            told = json.loads(value)
+            told = json.loads(Standing.of(value).body)
             routes = sum(len(wicket["regulations"]) for wicket in told["wickets"])
             return f"edition {told['edition']}, {routes} routes, {len(told['depots'])} services"
         told = UNPACK(value)
--- a/flintreach/refuge/control.py
+++ b/flintreach/refuge/control.py
@@ -4,16 +4,23 @@
 from gevent import pywsgi
 
 from flintreach.hutbook.book import Beat
+from flintreach.refuge.orders import LATE
 from flintreach.rope import link
-from flintreach.waymark import calls
+from flintreach.waymark import calls, timetable
 from flintreach.waymark.timetable import ConfigError, check
 
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 413: "Content Too Large",
-           503: "Service Unavailable"}
+REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 409: "Conflict",
+           413: "Content Too Large", 503: "Service Unavailable"}
 # A configuration goes through links inside a message that also holds other keys: far below what ends a link.
 LARGE, SMALL = link.MOST // 2, 64 << 10  # bytes of a configuration; of any other body
 AGAIN_S = "0.2"  # Retry-After: another refuge may answer at once
-LATE = {"fault": "no majority in time"}
+UNSURE = {"fault": "no majority in time"}
+PUT = {
+    timetable.TAKEN: (200, {}), timetable.AGAIN: (200, {}), timetable.OVERTAKEN: (200, {}),
+    timetable.OTHER: (409, {"fault": "edition: another content was acknowledged under this number"}),
+    timetable.FORGOTTEN: (503, {"fault": "edition: too old to tell which content it had"}),
+    LATE: (503, UNSURE),
+}
 
 
 class TooLarge(Exception):
@@ -74,26 +81,26 @@
 
     def beat(self, segments, environ, body):
         beat = msgspec.json.decode(body, type=Beat)
-        return (200, {}) if self.plane.endpoints.beat(segments[0], beat) else (503, LATE)
+        return (200, {}) if self.plane.endpoints.beat(segments[0], beat) else (503, UNSURE)
 
     def leave(self, segments, environ, body):
-        return (200, {}) if self.plane.endpoints.leave(segments[0]) else (503, LATE)
+        return (200, {}) if self.plane.endpoints.leave(segments[0]) else (503, UNSURE)
 
     def put(self, segments, environ, body):
         table = check(body)
-        return (200, {}) if self.plane.orders.put(table.number, body) else (503, LATE)
+        return PUT[self.plane.orders.put(table.number, body)]
 
     def get(self, segments, environ, body):
         done, value = self.plane.orders.get()
         if not done:
-            return 503, LATE
+            return 503, UNSURE
         return (404, {"fault": "no configuration yet"}) if value is None else (200, value)
 
     def evacuate(self, segments, environ, body):
-        return (200, {}) if self.plane.orders.evacuate(segments[0], True) else (503, LATE)
+        return (200, {}) if self.plane.orders.evacuate(segments[0], True) else (503, UNSURE)
 
     def resume(self, segments, environ, body):
-        return (200, {}) if self.plane.orders.evacuate(segments[0], False) else (503, LATE)
+        return (200, {}) if self.plane.orders.evacuate(segments[0], False) else (503, UNSURE)
 
     def resolve(self, segments, environ, body):
         asked = dict(pair.partition("=")[::2] for pair in environ["QUERY_STRING"].split("&"))
--- a/flintreach/refuge/orders.py
+++ b/flintreach/refuge/orders.py
@@ -2,8 +2,12 @@
 
 import msgspec
 
+from flintreach.waymark import timetable
+from flintreach.waymark.timetable import Standing
+
 PACK, UNPACK = msgspec.msgpack.encode, msgspec.msgpack.decode
 ACK_S = 0.85  # callers move on after a second
+LATE = "late"  # not known to stand within that time; it may
 
 
 class Orders:
@@ -16,7 +20,8 @@
         if value is None:
             return
         if key == "timetable":
-            board.offer(key, int(msgspec.json.decode(value)["edition"], 16), value)
+            held = Standing.of(value)
+            board.offer(key, held.number, held.body)
         elif key == "evac":
             number, zones = UNPACK(value)
             board.offer(key, number, zones)
@@ -27,19 +32,25 @@
                 for name, ids in sorted(rows, key=lambda row: len(row[1])):  # what shrinks goes first
                     board.offer(f"slice/{name}", number, ids)
 
-    def put(self, number: int, body: bytes) -> bool:
+    def put(self, number: int, body: bytes) -> str:
+        """What became of a configuration: a word of `timetable`, or LATE."""
+        word = LATE
+
         def step(old):
-            if old is not None and int(msgspec.json.decode(old)["edition"], 16) >= number:
-                return None
-            return body
+            nonlocal word
+            word, value = timetable.put(old, number, body)
+            return value
 
         done, value = self.plane.register.change("timetable", step, ACK_S)
-        if done:
-            self.learn("timetable", value)
-        return done
+        if not done:
+            return LATE
+        self.learn("timetable", value)
+        return word
 
     def get(self) -> tuple[bool, bytes | None]:
-        return self.plane.register.read("timetable", ACK_S)
+        """Whether it is known what stands, and the configuration as it was put, None where there is none."""
+        done, value = self.plane.register.read("timetable", ACK_S)
+        return done, Standing.of(value).body if value is not None else None
 
     def evacuate(self, zone: str, on: bool) -> bool:
         def step(old):
--- a/flintreach/waymark/timetable.py
+++ b/flintreach/waymark/timetable.py
@@ -2,11 +2,21 @@
 
 Source: the wire's page, "The operator".  A configuration is kept as the operator wrote it, since it is read
 back as it was put; the structs are what the programs act on.
+
+What stands of it lasts with a history: which content each number had (see `Standing`).
 """
 
+import string
+import struct
+from bisect import bisect_left
+from hashlib import sha256
+
 import msgspec
 
 KINDS = ("safe", "unsafe", "outbound_post")
+ENTRY, KEPT = struct.Struct(">I8s"), 2048  # number, digest; entries at most
+# What becomes of a configuration that is put.
+TAKEN, AGAIN, OVERTAKEN, OTHER, FORGOTTEN = "taken", "again", "overtaken", "other content", "forgotten"
 
 
 class ConfigError(ValueError):
@@ -114,12 +124,10 @@
 
 def edition(text: object) -> int:
     """A version as the wire has it: eight hexadecimal digits."""
-    if not isinstance(text, str) or len(text) != 8:
+    # `int` alone would take signs, underscores and digits of other scripts too.
+    if not isinstance(text, str) or len(text) != 8 or not set(text) <= set(string.hexdigits):
         raise ConfigError("edition: expected eight hexadecimal digits")
-    try:
-        return int(text, 16)
-    except ValueError:
-        raise ConfigError("edition: expected eight hexadecimal digits") from None
+    return int(text, 16)
 
 
 def check(body: bytes) -> Timetable:
@@ -157,3 +165,68 @@
                 raise ConfigError(f"{where}: postcode: stands twice under {wicket.destination}")
             places.add(place)
     return table
+
+
+def digest(body: bytes) -> bytes:
+    """What tells one content from another: eight bytes, against mistakes, not against a forger."""
+    return sha256(body).digest()[:8]
+
+
+class Standing:
+    """What the register holds: the newest body, as it was put, and which content each number had.
+
+    The history is sorted, its highest entry is that of the body, and it keeps the KEPT highest: an order
+    that was taken can be acknowledged again, and its number never confirms another content.  The pattern is
+    that of idempotency keys (IETF draft "The Idempotency-Key HTTP Header Field"), the number being the key.
+    """
+
+    __slots__ = ("body", "history")
+
+    def __init__(self, body: bytes, history: bytes):
+        self.body, self.history = body, history
+
+    @classmethod
+    def of(cls, value: bytes) -> "Standing":
+        """From the register.  Earlier texts kept the body alone, which is JSON and begins otherwise."""
+        if value[:1] == b"\x92":
+            return cls(*msgspec.msgpack.decode(value))
+        number = int(msgspec.json.decode(value)["edition"], 16)
+        return cls(value, ENTRY.pack(number, digest(value)))
+
+    def value(self) -> bytes:
+        return msgspec.msgpack.encode([self.body, self.history])
+
+    def __len__(self) -> int:
+        return len(self.history) // ENTRY.size
+
+    def entry(self, place: int) -> tuple[int, bytes]:
+        return ENTRY.unpack_from(self.history, place * ENTRY.size)
+
+    @property
+    def number(self) -> int:
+        return self.entry(len(self) - 1)[0]
+
+    def put(self, number: int, body: bytes) -> tuple[str, "Standing | None"]:
+        """What becomes of a configuration, and what is to stand from then on, None where nothing changes."""
+        mark, place = digest(body), bisect_left(range(len(self)), number, key=lambda at: self.entry(at)[0])
+        if place < len(self) and self.entry(place)[0] == number:
+            return (AGAIN if self.entry(place)[1] == mark else OTHER), None
+        if place == 0 and len(self) == KEPT:
+            return FORGOTTEN, None  # it may have had any content
+        at = place * ENTRY.size
+        history = (self.history[:at] + ENTRY.pack(number, mark) + self.history[at:])[-KEPT * ENTRY.size:]
+        if place == len(self):
+            return TAKEN, Standing(body, history)
+        # It changes nothing, but is acknowledged: noted first, lest another content is too.
+        return OVERTAKEN, Standing(self.body, history)
+
+
+def put(held: bytes | None, number: int, body: bytes) -> tuple[str, bytes | None]:
+    """A change of the register by a configuration: (what becomes of it, the value; None: nothing changes).
+
+    >>> word, value = put(None, 7, b'{"edition": "00000007"}')
+    >>> word, put(value, 7, b'{"edition": "00000007"}'), put(value, 7, b"other")[0], put(value, 3, b"")[0]
+    ('taken', ('again', None), 'other content', 'overtaken')
+    """
+    word, fresh = (Standing.of(held) if held is not None else Standing(b"", b"")).put(number, body)
+    return word, fresh and fresh.value()
