Contact before serving: what a refuge answers is no older than its contact with a quorum

Change: refuges ask each other for marks, four a second, on the links that carry their news. A mark counts from its asking and once nothing that it tells of is unlearned; unlearned stamps are fetched, or read where only a minority shows them (refuge/contact.py, pure; refuge/mesh.py). The table of calls has for each how old contact may be and how long ago the call may have been read; control checks before it acts, right before accepts go out, and right before it answers; also whether the process slept and whether the caller has gone. Beyond a bound: 503 at once, never a 4xx. show status tells refusals by reason, sleeps, the age of contact and of each.

--- a/flintreach/refuge/control.py
+++ b/flintreach/refuge/control.py
@@ -1,12 +1,17 @@
 """What endpoints, the operator and clients call: one table of calls, answered as WSGI by gevent's server."""
 
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
 import msgspec
 from gevent import pywsgi
 
 from flintreach.hutbook.book import Beat
-from flintreach.refuge.orders import LATE
+from flintreach.refuge.orders import DROPPED, LATE
 from flintreach.rope import link
 from flintreach.waymark import calls, timetable
+from flintreach.waymark.log import say
 from flintreach.waymark.timetable import ConfigError, check
 
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 409: "Conflict",
@@ -14,12 +19,15 @@
 # A configuration goes through links inside a message that also holds other keys: far below what ends a link.
 LARGE, SMALL = link.MOST // 2, 64 << 10  # bytes of a configuration; of any other body
 AGAIN_S = "0.2"  # Retry-After: another refuge may answer at once
-UNSURE = {"fault": "no majority in time"}
-PUT = {
+GONE = "flintreach.gone"  # in the environ: whether the caller went away
+# Why a call is answered 503: the process slept; no contact with a quorum; read too long ago; caller gone.
+SLEPT, ALONE, TIMED, LEFT = "slept", "out of touch", "late", "caller gone"
+UNSURE = 503, {"fault": "no majority in time"}
+ORDERS = {
     timetable.TAKEN: (200, {}), timetable.AGAIN: (200, {}), timetable.OVERTAKEN: (200, {}),
     timetable.OTHER: (409, {"fault": "edition: another content was acknowledged under this number"}),
     timetable.FORGOTTEN: (503, {"fault": "edition: too old to tell which content it had"}),
-    LATE: (503, UNSURE),
+    LATE: UNSURE, DROPPED: (503, {"fault": "given up before anything was changed"}),
 }
 
 
@@ -45,8 +53,20 @@
     return data
 
 
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One call that was read whole at `at`, on the steady clock; `gone()`: whether its caller went away."""
+
+    name: str
+    segments: list[str]
+    query: str
+    body: bytes
+    at: float
+    gone: Callable[[], bool]
+
+
 class Control:
-    """`plane` holds the state; each call of the table has a method here: (segments, environ) -> answer."""
+    """`plane` holds the state; each call of the table has a method here: call -> (status, answer)."""
 
     def __init__(self, plane, names: set[str]):
         self.plane, self.names = plane, names
@@ -71,39 +91,75 @@
             return 404, {"fault": "no such call"}
         most = LARGE if name == "put" else SMALL
         try:
-            return getattr(self, name)(segments, environ, body_of(environ, most))
+            call = Call(name, segments, environ["QUERY_STRING"], body_of(environ, most),
+                        self.plane.host.now(), environ[GONE])
         except TooLarge:
             return 413, {"fault": f"body: at most {most} bytes"}
         except CutShort as error:
             return 400, {"fault": f"body: {error}"}
+        # Before anything is done, and again after the last wait: this process may have slept in between.
+        if refused := self.refusal(call):
+            return refused
+        answer = self.judged(call)
+        return self.refusal(call) or answer
+
+    def judged(self, call: Call) -> tuple[int, bytes | dict]:
+        try:
+            return getattr(self, call.name)(call)
         except (msgspec.DecodeError, msgspec.ValidationError, ConfigError) as error:
             return 400, {"fault": str(error)}
 
-    def beat(self, segments, environ, body):
-        beat = msgspec.json.decode(body, type=Beat)
-        return (200, {}) if self.plane.endpoints.beat(segments[0], beat) else (503, UNSURE)
-
-    def leave(self, segments, environ, body):
-        return (200, {}) if self.plane.endpoints.leave(segments[0]) else (503, UNSURE)
-
-    def put(self, segments, environ, body):
-        table = check(body)
-        return PUT[self.plane.orders.put(table.number, body)]
-
-    def get(self, segments, environ, body):
+    def refusal(self, call: Call) -> tuple[int, dict] | None:
+        """Why a call may not be confirmed, as its answer: nothing clear, so that the caller goes on."""
+        reason = self.reason(call)
+        if reason is None:
+            return None
+        self.plane.refused(reason)
+        return 503, {"fault": reason}
+
+    def reason(self, call: Call) -> str | None:
+        now, (contact, within) = self.plane.host.now(), calls.BOUNDS[call.name]
+        for reason, holds in (
+            (SLEPT, lambda: within is not None and not self.plane.awake.look(now)),
+            (ALONE, lambda: contact is not None and self.plane.contact_age() > contact),
+            (TIMED, lambda: within is not None and now - call.at > within),
+            (LEFT, lambda: within is not None and call.gone()),
+        ):
+            if holds():
+                return reason
+        return None
+
+    def may(self, call: Call) -> Callable[[], bool]:
+        return lambda: self.reason(call) is None
+
+    def beat(self, call):
+        beat = msgspec.json.decode(call.body, type=Beat)
+        return (200, {}) if self.plane.endpoints.beat(call.segments[0], beat) else UNSURE
+
+    def leave(self, call):
+        return (200, {}) if self.plane.endpoints.leave(call.segments[0]) else UNSURE
+
+    def put(self, call):
+        number = check(call.body).number
+        word = self.plane.orders.put(number, call.body, self.may(call))
+        if word == timetable.OTHER:
+            say("conflict", edition=f"{number:08x}")
+        return ORDERS[word]
+
+    def get(self, call):
         done, value = self.plane.orders.get()
         if not done:
-            return 503, UNSURE
+            return UNSURE
         return (404, {"fault": "no configuration yet"}) if value is None else (200, value)
 
-    def evacuate(self, segments, environ, body):
-        return (200, {}) if self.plane.orders.evacuate(segments[0], True) else (503, UNSURE)
+    def evacuate(self, call):
+        return ORDERS[self.plane.orders.evacuate(call.segments[0], True, self.may(call))]
 
-    def resume(self, segments, environ, body):
-        return (200, {}) if self.plane.orders.evacuate(segments[0], False) else (503, UNSURE)
+    def resume(self, call):
+        return ORDERS[self.plane.orders.evacuate(call.segments[0], False, self.may(call))]
 
-    def resolve(self, segments, environ, body):
-        asked = dict(pair.partition("=")[::2] for pair in environ["QUERY_STRING"].split("&"))
+    def resolve(self, call):
+        asked = dict(pair.partition("=")[::2] for pair in call.query.split("&"))
         placing = self.plane.placing
         addrs = placing.directions(asked.get("name", ""), asked.get("region", ""), asked.get("zone", ""))
         if not addrs:
@@ -111,5 +167,23 @@
         return 200, {"post_addrs": addrs, "valid_s": round(placing.valid(self.plane.host.now()), 2)}
 
 
+class Handler(pywsgi.WSGIHandler):
+    """Tells a call whether its caller went away: an order may outlive the patience of who sent it."""
+
+    def get_environ(self):
+        environ = super().get_environ()
+        environ[GONE] = self.gone
+        return environ
+
+    def gone(self) -> bool:
+        try:
+            return not self.socket._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+
 def listen(address: tuple[str, int], plane, names: set[str]) -> pywsgi.WSGIServer:
-    return pywsgi.WSGIServer(address, Control(plane, names), log=None, error_log=None, backlog=256)
+    return pywsgi.WSGIServer(address, Control(plane, names), log=None, error_log=None, backlog=256,
+                             handler_class=Handler)
--- a/flintreach/refuge/mesh.py
+++ b/flintreach/refuge/mesh.py
@@ -1,35 +1,52 @@
-"""News among the refuges: each follows the boards of all others."""
+"""News among the refuges: each follows the boards of all others, and asks them for marks (see `contact`)."""
 
+import msgspec
+
+from flintreach.refuge.contact import KEYS
 from flintreach.rope.link import Closed
 
+MARK_S, LOOK_S = 0.25, 0.3  # seconds between marks of one refuge, between looks for refuges
+UNPACK = msgspec.msgpack.decode
+
 
 class Mesh:
     def __init__(self, plane):
         self.plane, self.host = plane, plane.host
         self.followed: set = set()
+        self.sought: set[str] = set()  # keys of which something unlearned is being looked for
+        plane.bundle.handlers["mark"] = self.on_mark
 
     def run(self) -> None:
+        me = self.plane.bundle.address
         while True:
             for address in self.plane.peers():
                 if address not in self.followed:
                     self.followed.add(address)
                     self.host.spawn(self.follow, address)
-            self.host.sleep(0.3)
+            now = self.host.now()
+            self.take(me, now, self.on_mark(None, None))
+            self.host.sleep(LOOK_S if self.plane.serving else LOOK_S / 6)
 
     def follow(self, address) -> None:
         def on_news(link, rows):
             for key, version, value in rows:
                 self.hear(key, version, value)
 
+        link = None
         try:
             link = self.host.dial(address, {"news": on_news, "sign": lambda link, age: None}, 0.7)
             rows, _ = link.ask("follow", self.plane.board.digest(), 1.0)
             on_news(link, rows)
-            while not link.closed:
-                self.host.sleep(0.2)
+            while True:
+                # On the link that brings the news: one on which nothing comes any more is noticed by this.
+                asked = self.host.now()
+                self.take(address, asked, link.ask("mark", None, 1.0))
+                self.host.sleep(MARK_S)
         except (OSError, Closed, TypeError):
-            self.host.sleep(0.3)
+            self.host.sleep(LOOK_S if self.plane.news_age() < 1.0 else LOOK_S / 3)
         finally:
+            if link is not None:
+                link.close()
             self.followed.discard(address)
 
     def hear(self, key: str, version, value) -> None:
@@ -37,3 +54,54 @@
         if kind == "hut" and isinstance(value, dict):
             self.plane.endpoints.heard_of(id, version, value)
         self.plane.board.offer(key, version, value)
+
+    # Marks.
+
+    def on_mark(self, link, body):
+        """What this disk accepted of the orders' keys; None where it does not vote."""
+        register = self.plane.register
+        if not register.votes():
+            return None
+        slots = register.acceptor.slots
+        return {key: list(slots[key].accepted) for key in KEYS if key in slots}
+
+    def take(self, address, asked: float, told) -> None:
+        if told is None:
+            return
+        contact = self.plane.contact
+        contact.heard(address, asked, {key: tuple(stamp) for key, stamp in told.items()}, self.host.now())
+        for key in KEYS:
+            if key not in self.sought and contact.unlearned(key):
+                self.sought.add(key)
+                self.host.spawn(self.seek, key)
+
+    def seek(self, key: str) -> None:
+        """Learn what a mark told of and no news may bring: who confirmed it may have died at once."""
+        try:
+            contact, register, orders = self.plane.contact, self.plane.register, self.plane.orders
+            stamp, holders = contact.newest(key)
+            told, value = self.fetch(key, stamp, holders)
+            if told >= stamp and orders.holds(key, value):
+                return contact.learn(key, told)
+            if told == stamp and register.voters.met(holders):
+                orders.learn(key, value)
+                return contact.learn(key, stamp)
+            if contact.waited(key, self.host.now()):
+                # On a minority it may be decided or not: a read settles that, for all ballots up to here.
+                done, value = register.read(key, 0.85)
+                if done:
+                    orders.learn(key, value)
+                    contact.learn(key, stamp)
+        finally:
+            self.sought.discard(key)
+
+    def fetch(self, key: str, stamp, holders) -> tuple:
+        """(stamp, value) of a key as this disk has it, or one of the holders."""
+        own = self.plane.register.acceptor
+        if own is not None and key in own.slots and own.slots[key].accepted >= stamp:
+            return own.slots[key].accepted, own.slots[key].value
+        for address in holders[:1]:
+            told = self.plane.bundle.ask(address, "value", key, 0.5)
+            if told:
+                return tuple(told[0]), told[1]
+        return (0, ""), None
--- a/flintreach/refuge/orders.py
+++ b/flintreach/refuge/orders.py
@@ -1,13 +1,17 @@
 """The operator's orders at a refuge: the configuration and evacuations, as changes of the register."""
 
+from collections.abc import Callable
+
 import msgspec
 
+from flintreach.cairn.voters import Voters
 from flintreach.waymark import timetable
 from flintreach.waymark.timetable import Standing
 
 PACK, UNPACK = msgspec.msgpack.encode, msgspec.msgpack.decode
 ACK_S = 0.85  # callers move on after a second
-LATE = "late"  # not known to stand within that time; it may
+LATE, DROPPED = "late", "dropped"  # not known to stand within that time; not begun, or given up
+YES = lambda: True  # noqa: E731
 
 
 class Orders:
@@ -25,6 +29,8 @@
         elif key == "evac":
             number, zones = UNPACK(value)
             board.offer(key, number, zones)
+        elif key == "voters":
+            self.plane.register.adopt(Voters.of(UNPACK(value)))
         elif key == "map":
             number, tables = UNPACK(value)
             if board.offer(key, number, number):
@@ -32,19 +38,36 @@
                 for name, ids in sorted(rows, key=lambda row: len(row[1])):  # what shrinks goes first
                     board.offer(f"slice/{name}", number, ids)
 
-    def put(self, number: int, body: bytes) -> str:
-        """What became of a configuration: a word of `timetable`, or LATE."""
+    def holds(self, key: str, value: bytes | None) -> bool:
+        """Whether this refuge's news have a value of the register, or a later one."""
+        if value is None:
+            return False
+        if key == "voters":
+            return Voters.of(UNPACK(value)).epoch <= self.plane.register.voters.epoch
+        number = Standing.of(value).number if key == "timetable" else UNPACK(value)[0]
+        held = self.plane.board.parcels.get(key)
+        return held is not None and held[0] >= number
+
+    def put(self, number: int, body: bytes, still: Callable[[], bool] = YES) -> str:
+        """What became of a configuration: a word of `timetable`, LATE or DROPPED.
+
+        `still()`: asked right before anything is told to acceptors, whether it may yet be done.
+        """
+        return self.change("timetable", lambda old: timetable.put(old, number, body), still)
+
+    def change(self, key: str, made: Callable, still: Callable[[], bool]) -> str:
+        """`made(old)`: (what becomes of the order, the new value or None), as it is changed in the end."""
         word = LATE
 
         def step(old):
             nonlocal word
-            word, value = timetable.put(old, number, body)
+            word, value = made(old) if still() else (DROPPED, None)
             return value
 
-        done, value = self.plane.register.change("timetable", step, ACK_S)
+        done, value = self.plane.register.change(key, step, ACK_S)
         if not done:
             return LATE
-        self.learn("timetable", value)
+        self.learn(key, value)
         return word
 
     def get(self) -> tuple[bool, bytes | None]:
@@ -52,12 +75,16 @@
         done, value = self.plane.register.read("timetable", ACK_S)
         return done, Standing.of(value).body if value is not None else None
 
-    def evacuate(self, zone: str, on: bool) -> bool:
-        def step(old):
+    def evacuate(self, zone: str, on: bool, still: Callable[[], bool] = YES) -> str:
+        """TAKEN or AGAIN, LATE or DROPPED.
+
+        The order has no number: one that was delayed must not act after a later one.  Ballots see to it from
+        the prepares on, as a later order's are higher; `still` is for what comes before, while it lay unread.
+        """
+        def made(old):
             number, zones = UNPACK(old) if old else (0, {})
-            return None if bool(zones.get(zone)) == on and old else PACK([number + 1, {**zones, zone: on}])
+            if old and bool(zones.get(zone)) == on:
+                return timetable.AGAIN, None
+            return timetable.TAKEN, PACK([number + 1, {**zones, zone: on}])
 
-        done, value = self.plane.register.change("evac", step, ACK_S)
-        if done:
-            self.learn("evac", value)
-        return done
+        return self.change("evac", made, still)
--- a/flintreach/refuge/plane.py
+++ b/flintreach/refuge/plane.py
@@ -11,6 +11,7 @@
 from flintreach.cairn.register import Register
 from flintreach.cairn.voters import Voters
 from flintreach.refuge.care import ROLE, Care
+from flintreach.refuge.contact import GAP_S, NEVER, Awake, Contact
 from flintreach.refuge.endpoints import Endpoints
 from flintreach.refuge.mesh import Mesh
 from flintreach.refuge.orders import Orders
@@ -35,6 +36,8 @@
         voters = Voters.of(msgspec.msgpack.decode(bytes.fromhex(kept))) if kept else Voters()
         self.register = Register(bundle, voters, store)
         self.serving = False
+        self.contact, self.awake = Contact(), Awake(self.host.now())
+        self.refusals: dict[str, list] = {}  # reason -> [calls refused, when the last was]
         self.routes: Routes | None = None
         self.endpoints = Endpoints(self, node.carrier.report_ms)
         self.orders = Orders(self)
@@ -61,11 +64,22 @@
         """Refuges that must know, this one among them, so that no loss within bounds takes it from all."""
         return len(self.group) // 2 + 1
 
+    def contact_age(self) -> float:
+        """Seconds since a time up to which all that was acknowledged is known here."""
+        return self.contact.age(self.register.voters, self.host.now())
+
     def news_age(self) -> float:
-        """Seconds since this refuge surely knew what stands; a day before its start is over."""
-        if not self.serving:
-            return 86400.0
-        return self.host.now() - max(self.care.majority_at, self.care.touched())
+        """The same for what is told as news; a day before this refuge's start is over."""
+        return self.contact_age() if self.serving else NEVER
+
+    def refused(self, reason: str) -> None:
+        count, _ = self.refusals.get(reason, (0, 0.0))
+        self.refusals[reason] = [count + 1, self.host.now()]
+
+    def watch(self) -> None:
+        while True:
+            self.awake.look(self.host.now())
+            self.host.sleep(GAP_S / 4)
 
     def on_parcel(self, key: str, version, value) -> None:
         if key == "timetable":
@@ -83,7 +97,7 @@
 
     def start(self) -> None:
         self.relay.start()
-        for loop in (self.care.sweep, self.mesh.run, self.endpoints.look, self.placing.keys,
+        for loop in (self.watch, self.care.sweep, self.mesh.run, self.endpoints.look, self.placing.keys,
                      self.placing.run):
             self.host.spawn(loop)
 
@@ -109,9 +123,16 @@
                     for line, rows in sorted(self.board.under("bunks/").items())
                     for low, high, holder, state in rows]
         if what == "status":
+            now = self.host.now()
+            refused = sorted(self.refusals.items(), key=lambda row: -row[1][0])
+            ages = sorted(self.contact.asked.items())
             return [{"node": self.node.sender.node_name, "ready": self.serving,
                      "edition": f"{self.routes.number:08x}" if self.routes else "",
+                     "refused": ", ".join(f"{count} {reason} ({now - at:.1f} s ago)"
+                                          for reason, (count, at) in refused),
+                     "refused_by_disk": self.register.refused, "sleeps": self.awake.sleeps,
                      "disks": len(self.group), "votes": self.register.votes(),
-                     "refused_by_disk": self.register.refused, "news_age_s": round(self.news_age(), 1),
+                     "contact_s": round(self.contact_age(), 1),
+                     "contacts_s": " ".join(f"{ip} {now - at:.1f}" for (ip, _), at in ages),
                      "evacuated": " ".join(sorted(self.away()))}]
         return None
--- a/flintreach/rope/bundle.py
+++ b/flintreach/rope/bundle.py
@@ -15,7 +15,7 @@
 
     def __init__(self, address: tuple[str, int], host: Host | None = None):
         self.address, self.handlers, self.host = address, {}, host or Host()
-        self.heard: dict[tuple[str, int], float] = {}  # when a pilot last answered
+        self.heard: dict[tuple[str, int], float] = {}  # when what a pilot last answered was asked
         self.links: dict[tuple[str, int], Link] = {}
         self.locks: dict[tuple[str, int], Any] = {}
 
@@ -41,9 +41,11 @@
 
     def ask(self, address: tuple[str, int], kind: str, body: Any = None, timeout: float = 1.0) -> Any:
         """The answer of the pilot at an address, or None if none came within `timeout` seconds."""
+        asked = self.host.now()
         try:
             answer = self.link(address, timeout).ask(kind, body, timeout)
-            self.heard[address] = self.host.now()
+            # Not when it came: it may have lain in a buffer while this process slept.
+            self.heard[address] = max(asked, self.heard.get(address, asked))
             return answer
         except (OSError, Closed, gevent.Timeout):
             return None
--- a/tests/test_system_orders.py
+++ b/tests/test_system_orders.py
@@ -5,18 +5,32 @@
 import random
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
+import gevent
+import gevent.socket
 import msgspec
 from gevent import pywsgi
 from greenlet import greenlet
 
+from flintreach.bunks.keeping import GRANT, SEND, Keeping
+from flintreach.bunks.plan import HELD, KEYS, LEAVING, Allocation, Heat, Range
+from flintreach.cairn.acceptor import Slot
 from flintreach.cairn.register import Register
 from flintreach.cairn.voters import Voters
-from flintreach.refuge.control import LARGE, SMALL, Control
+from flintreach.lookout.roster import ALIVE, DEAD, SUSPECTED, Member, Roster
+from flintreach.lookout.roster import LEFT as LEFT_
+from flintreach.refuge import contact, mesh
+from flintreach.refuge.care import Care
+from flintreach.refuge.contact import AFTER_S, GAP_S, NEVER, PATIENCE_S, Awake, Contact
+from flintreach.refuge.control import ALONE, GONE, LARGE, LEFT, SLEPT, SMALL, TIMED, Control, Handler
+from flintreach.refuge.keys import Keeper
+from flintreach.refuge.mesh import Mesh
 from flintreach.refuge.orders import LATE, Orders
 from flintreach.rope import link
+from flintreach.rope.bundle import Bundle
 from flintreach.trail.board import Board
-from flintreach.waymark import timetable
+from flintreach.waymark import calls, timetable
 from flintreach.waymark.timetable import AGAIN, FORGOTTEN, KEPT, OTHER, OVERTAKEN, TAKEN, Standing
 
 CALLS = {"beat", "leave", "put", "get", "evacuate", "resume", "resolve"}
@@ -46,12 +60,12 @@
              "dispatch": {"line": "desk", "deadline_ms": 2000, "tries": 2}}]}]})
 
 
-def call(control, method, path, body=b"", told=None, chunked=False, query=""):
+def call(control, method, path, body=b"", told=None, chunked=False, query="", gone=lambda: False):
     """(status, answer, headers, bytes read) of one call, as gevent's server makes it."""
     coming, out = Coming(body), []
     length = None if chunked else len(body) if told is None else told
     environ = {"REQUEST_METHOD": method, "PATH_INFO": path, "QUERY_STRING": query,
-               "wsgi.input": pywsgi.Input(coming, length, chunked_input=chunked)}
+               GONE: gone, "wsgi.input": pywsgi.Input(coming, length, chunked_input=chunked)}
     if length is not None:
         environ["CONTENT_LENGTH"] = str(length)
     data = b"".join(control(environ, lambda status, headers: out.extend((status, dict(headers)))))
@@ -59,6 +73,40 @@
     return int(out[0].split()[0]), msgspec.json.decode(data), out[1], coming.taken
 
 
+ME, PEERS = ("10.0.0.0", 7), [("10.0.0.1", 7), ("10.0.0.2", 7)]
+THREE = Voters(1, tuple((address, "") for address in [ME, *PEERS]))
+
+
+class Plane:
+    """What `Control` takes of a refuge, with a clock of the test's: in touch until time passes."""
+
+    def __init__(self, **parts):
+        self.host, self.time = self, 100.0
+        self.contact, self.awake, self.refusals = Contact(), Awake(self.time), []
+        self.touch()
+        vars(self).update(parts)
+
+    def now(self):
+        return self.time
+
+    def touch(self):
+        for address in (ME, *PEERS):
+            self.contact.heard(address, self.time, {}, self.time)
+
+    def passes(self, seconds, asleep=False):
+        until = self.time + seconds
+        while not asleep and self.time < until - 0.1:
+            self.time += 0.1
+            self.awake.look(self.time)
+        self.time = until
+
+    def contact_age(self):
+        return self.contact.age(THREE, self.time)
+
+    def refused(self, reason):
+        self.refusals.append(reason)
+
+
 class Lock:
     """For what never waits while it holds it."""
 
@@ -113,7 +161,17 @@
         disk = SimpleNamespace(life=f"life {address}", voting=True, slots=dict(slots or {}), facts={},
                                keep=lambda *rows: True)
         self.register = Register(self, world.voters, disk)
-        self.orders = Orders(self)
+        self.serving, self.refusals = True, []
+        self.contact, self.awake = Contact(), Awake(world.now)
+        self.contact_age = lambda: 0.0  # where a test is about contact it asks `contact` itself
+        self.orders, self.care, self.mesh = Orders(self), Care(self), Mesh(self)
+        self.control = Control(self, CALLS)
+
+    def refused(self, reason):
+        self.refusals.append(reason)
+
+    def spawn(self, function, *args):
+        function(*args)
 
     def now(self):
         return self.world.now
@@ -133,8 +191,8 @@
         return there.handlers[kind](None, body)
 
     def gather(self, addresses, kind, body, enough, timeout=1.0):
-        answers = []
-        for address in addresses:
+        answers, first = [], self.world.addresses.index(self.address)
+        for address in [*addresses[first:], *addresses[:first]]:  # the nearest disk first
             answer = self.ask(address, kind, body(address) if callable(body) else body, timeout)
             if answer is not None:
                 answers.append((address, answer))
@@ -145,8 +203,8 @@
 class Bodies(unittest.TestCase):
     def setUp(self):
         self.put = []
-        orders = SimpleNamespace(put=lambda number, body: self.put.append(body) or TAKEN)
-        self.control = Control(SimpleNamespace(orders=orders), CALLS)
+        orders = SimpleNamespace(put=lambda number, body, still: self.put.append(body) or TAKEN)
+        self.control = Control(Plane(orders=orders), CALLS)
 
     def test_a_body_that_links_would_not_carry_is_told_by_its_length_and_left_unread(self):
         self.assertLessEqual(2 * LARGE, link.MOST)
@@ -267,9 +325,9 @@
         """Only another content is refused; what can't be told has no clear answer, and when to ask again."""
         for word, status in ((TAKEN, 200), (AGAIN, 200), (OVERTAKEN, 200), (OTHER, 409), (FORGOTTEN, 503),
                              (LATE, 503)):
-            orders = SimpleNamespace(put=lambda number, body, word=word: word)
-            got, told, headers, _ = call(Control(SimpleNamespace(orders=orders), CALLS), "POST",
-                                         "/v1/timetable/put", table(1))
+            orders = SimpleNamespace(put=lambda number, body, still, word=word: word)
+            got, told, headers, _ = call(Control(Plane(orders=orders), CALLS), "POST", "/v1/timetable/put",
+                                         table(1))
             self.assertEqual((got, "fault" in told, "Retry-After" in headers), (status, status != 200,
                                                                                 status == 503), word)
 
@@ -280,5 +338,449 @@
         self.assertEqual(timetable.edition("0000aBcD"), 0xabcd)
 
 
+ZONE = "/v1/evacuate/north/"
+
+
+class OrdersWithoutNumbers(unittest.TestCase):
+    """Evacuations: one that was delayed must not act after a later one that was acknowledged."""
+
+    def away(self, world):
+        for node in world.nodes:
+            done, value = node.register.read("evac")
+            self.assertTrue(done)
+            yield msgspec.msgpack.decode(value)[1].get("north", False) if value else False
+
+    def later(self, world, word):
+        """What the caller does once it has given a refuge up: the order at another, then its reverse."""
+        other = {"start": "finish", "finish": "start"}[word]
+        for path in (ZONE + word, ZONE + other):
+            self.assertEqual(call(world.nodes[1].control, "POST", path)[0], 200)
+
+    def test_an_order_that_stopped_at_any_message_does_not_act_after_a_later_one(self):
+        """The refuge stops after each number of messages, for longer than its caller waits; whether it then
+        sees that the caller has gone or not, and whether it slept or its messages did."""
+        for word, on in (("start", False), ("finish", True)):
+            for stop in range(7):  # three prepares and two accepts: 5 messages, then it is done
+                for seen, slept in itertools.product((True, False), repeat=2):
+                    if not (stop or seen or slept):
+                        continue  # not yet read, unnoticed, from a caller behind a cut: an order of now
+                    world, left = World(3), []
+                    if word == "finish":
+                        call(world.nodes[2].control, "POST", ZONE + "start")
+                    late = greenlet(lambda: call(world.nodes[0].control, "POST", ZONE + word,  # noqa: B023
+                                                 gone=lambda: bool(seen and left)))  # noqa: B023
+                    for _ in range(stop):
+                        late.dead or late.switch()
+                    world.now += 1.0
+                    for node in world.nodes[slept:]:
+                        node.awake.last = world.now  # these ran all the while
+                    left.append(True)
+                    self.later(world, word)
+                    while not late.dead:
+                        answer = late.switch()
+                        self.assertTrue(not answer or answer[0] == 503, (word, stop, seen, slept))
+                    self.assertEqual({*self.away(world)}, {on}, (word, stop, seen, slept))
+
+    def test_an_order_that_lay_unread_while_the_refuge_slept_is_not_begun(self):
+        for word, on in (("start", False), ("finish", True)):
+            world = World(3)
+            if word == "finish":
+                call(world.nodes[2].control, "POST", ZONE + "start")
+            self.later(world, word)
+            world.now += 5.0
+            for node in world.nodes[1:]:
+                node.awake.last = world.now  # these ran all the while
+            late = world.nodes[0]
+            for waited in (0.0, AFTER_S / 2):
+                world.now += waited
+                status, told, headers, _ = call(late.control, "POST", ZONE + word)
+                self.assertEqual((status, told, "Retry-After" in headers), (503, {"fault": SLEPT}, True))
+            self.assertEqual({*self.away(world)}, {on})
+            world.now += AFTER_S
+            self.assertEqual(call(late.control, "POST", ZONE + word)[0], 200, "callers of now are served")
+
+    def test_an_order_of_a_caller_that_went_away_changes_nothing_before_accepts_go_out(self):
+        world = World(3)
+        for asked in range(1, 3):  # the caller is looked at before the call, and before the accepts
+            looks = itertools.count(1)
+            status, told, _, _ = call(world.nodes[0].control, "POST", ZONE + "start",
+                                      gone=lambda: next(looks) >= asked)  # noqa: B023
+            self.assertEqual((status, told), (503, {"fault": LEFT}))
+            self.assertEqual({*self.away(world)}, {False})
+        self.assertEqual(world.nodes[0].refusals, [LEFT] * 2)
+
+    def test_a_repeat_is_acknowledged_and_is_no_change(self):
+        world = World(3)
+        for path in (ZONE + "finish", ZONE + "start", ZONE + "finish"):
+            for node in world.nodes * 2:
+                self.assertEqual(call(node.control, "POST", path)[0], 200)
+        self.assertEqual(msgspec.msgpack.decode(world.nodes[0].register.read("evac")[1])[0], 3)
+
+    def test_who_sees_that_its_caller_went(self):
+        here, there = gevent.socket.socketpair()
+        handler = Handler.__new__(Handler)
+        handler.socket = here
+        self.assertFalse(handler.gone())
+        there.sendall(b"GET ")  # the next request
+        self.assertFalse(handler.gone())
+        here.recv(4)
+        there.close()
+        self.assertTrue(handler.gone())
+        here.close()
+        self.assertTrue(handler.gone())
+
+
+REQUESTS = {
+    "resolve": ("GET", "/v1/directions", b""), "put": ("POST", "/v1/timetable/put", table(3)),
+    "get": ("GET", "/v1/timetable/get", b""), "evacuate": ("POST", ZONE + "start", b""),
+    "resume": ("POST", ZONE + "finish", b""), "leave": ("POST", "/v1/endpoints/e/sign-off", b""),
+    "beat": ("POST", "/v1/endpoints/e/check-in", msgspec.json.encode({
+        "line": "desk", "addr": "10.0.0.9:80", "zone": "north", "berths": 2, "state": "ready", "call_seq": 1,
+        "edition": "v1", "cold_left_ms": 0})),
+}
+
+
+class ContactBeforeServing(unittest.TestCase):
+    """Each call of the table: in touch, cut off, after a sleep, across a sleep."""
+
+    def setUp(self):
+        self.done, self.during, self.value = [], (0.0, False), b"{}"
+
+    def control(self):
+        """A refuge whose calls take `during`: seconds, and whether it sleeps through them."""
+        def waits(name, value):
+            def answer(*args):
+                self.done.append(name)
+                plane.passes(*self.during)
+                return value() if callable(value) else value
+            return answer
+
+        plane = Plane(
+            orders=SimpleNamespace(put=waits("put", TAKEN), evacuate=waits("order", TAKEN),
+                                   get=waits("get", lambda: (True, self.value))),
+            endpoints=SimpleNamespace(beat=waits("beat", True), leave=waits("leave", True)),
+            placing=SimpleNamespace(directions=waits("resolve", ["10.1.0.1:80"]), valid=lambda now: 0.5))
+        return plane, Control(plane, CALLS)
+
+    def each(self):
+        for name, (method, path, body) in REQUESTS.items():
+            plane, control = self.control()
+            self.done.clear()
+            yield name, plane, lambda: call(control, method, path, body)[:3], *calls.BOUNDS[name]  # noqa: B023
+
+    def test_every_call_that_a_refuge_answers_has_its_case_and_its_bound(self):
+        self.assertEqual({*REQUESTS}, CALLS)
+        self.assertEqual({*REQUESTS} | {"ready"}, {*calls.BOUNDS})
+        for name in REQUESTS:
+            contact_s, within = calls.BOUNDS[name]
+            self.assertTrue(contact_s <= 2.0 and (name == "resolve" or within < 1.0), name)
+
+    def test_in_touch(self):
+        for name, plane, ask, bound, _ in self.each():
+            plane.passes(bound - 0.01)
+            self.assertEqual((ask()[0], len(self.done)), (200, 1), name)
+
+    def test_cut_off_it_answers_at_once_that_it_does_not_know(self):
+        for name, plane, ask, bound, _ in self.each():
+            plane.passes(bound + 0.01)
+            at = plane.time
+            status, told, headers = ask()
+            self.assertEqual((status, told, plane.time, self.done), (503, {"fault": ALONE}, at, []), name)
+            self.assertEqual((headers["Retry-After"], plane.refusals), ("0.2", [ALONE]))
+
+    def test_never_in_touch(self):
+        for name, plane, ask, _, _ in self.each():
+            plane.contact = Contact()
+            self.assertEqual(ask()[:2], (503, {"fault": ALONE}), name)
+
+    def test_what_lay_unread_while_it_slept_is_not_answered(self):
+        for name, plane, ask, bound, within in self.each():
+            plane.passes(GAP_S + 0.05, asleep=True)
+            self.assertEqual(ask()[:2], (503, {"fault": SLEPT}) if within else (200, ask()[1]), name)
+            plane.passes(AFTER_S + 0.01)
+            plane.touch()
+            self.assertEqual(ask()[0], 200, name)
+
+    def test_a_sleep_between_the_last_wait_and_the_answer_confirms_nothing(self):
+        """Also no 4xx: what `get` found before the sleep is no word on what stands."""
+        self.during = 5.0, True
+        for value in (b"{}", None):
+            self.value = value
+            for name, _, ask, _, _ in self.each():
+                status, told, _ = ask()
+                self.assertEqual((status, len(self.done)), (503, 1), name)
+                self.assertIn(told["fault"], (SLEPT, ALONE))
+
+    def test_what_took_longer_than_callers_wait_is_not_confirmed(self):
+        for name, plane, ask, _, within in self.each():
+            if within:
+                self.during = within + 0.05, False
+                self.assertEqual(ask()[:2], (503, {"fault": TIMED}), name)
+                self.during = within - 0.05, False
+                plane.touch()
+                self.assertEqual(ask()[0], 200, name)
+
+
+class Marks(unittest.TestCase):
+    """What counts as contact: `Contact` by itself."""
+
+    def contact(self, *asked):
+        found = Contact()
+        for address, at in zip([ME, *PEERS], asked):
+            found.heard(address, at, {}, at)
+        return found
+
+    def test_a_quorum_counts_from_its_latest_common_asking(self):
+        cases = (((10, 9, 2), 1.0), ((10, 3, 2), 7.0), ((1, 9, 8), 2.0), ((10,), NEVER), ((), NEVER))
+        for asked, age in cases:
+            self.assertEqual(self.contact(*asked).age(THREE, 10.0), age, asked)
+
+    def test_while_voters_change_both_sets_must_be_heard(self):
+        old = tuple((address, "") for address in [ME, *PEERS])
+        new = tuple(((f"10.0.1.{number}", 7), "") for number in range(3))
+        joint, found = Voters(2, old, new), self.contact(9, 9, 9)
+        self.assertEqual(found.age(joint, 10.0), NEVER)
+        for address, _ in new[:2]:
+            found.heard(address, 6.0, {}, 9.0)
+        self.assertEqual((found.age(joint, 10.0), found.age(THREE, 10.0)), (4.0, 1.0))
+
+    def test_a_mark_counts_once_what_it_told_of_is_learned_and_from_its_asking(self):
+        found, stamp = self.contact(1, 1, 1), (4, "a")
+        for at in (5.0, 6.0):
+            for address in PEERS:
+                found.heard(address, at, {"timetable": stamp}, at + 0.1)
+        self.assertEqual((found.age(THREE, 7.0), found.unlearned("timetable")), (6.0, True))
+        found.learn("timetable", (3, "z"))
+        self.assertEqual(found.age(THREE, 7.0), 6.0)
+        found.learn("timetable", (5, "b"))  # a later one covers it
+        self.assertEqual((found.age(THREE, 7.0), found.unlearned("timetable")), (1.0, False))
+
+    def test_a_key_that_changes_with_each_mark_makes_nothing_stale(self):
+        """News of a change come a moment after the mark that told of it, again and again."""
+        found = self.contact(1, 1, 1)
+        for turn in range(40):
+            at = 2.0 + turn / 4
+            for address in (ME, *PEERS):
+                found.heard(address, at, {"evac": (turn + 1, "a")}, at + 0.1)
+            self.assertLessEqual(found.age(THREE, at + 0.1), 0.36 if turn else 2.0)
+            found.learn("evac", (turn + 1, "a"))
+        self.assertLessEqual(len(found.open[ME]), 1)
+
+    def test_marks_that_wait_are_bounded(self):
+        found = self.contact(1, 1, 1)
+        for turn in range(100):
+            found.heard(ME, 2.0 + turn, {"evac": (9, "a")}, 2.0 + turn)
+        self.assertEqual(len(found.open[ME]), contact.OPEN)
+
+    def test_a_sleep_is_noticed_by_whoever_looks_first(self):
+        awake = Awake(10.0)
+        trace = [(10.1, True), (10.45, True), (11.0, False), (11.1, False), (11.26, True), (20.0, False)]
+        self.assertEqual([awake.look(at) for at, _ in trace], [good for _, good in trace])
+        self.assertEqual(awake.sleeps, 2)
+
+    def test_an_answer_that_lay_in_a_buffer_counts_from_its_asking(self):
+        clock = [10.0]
+
+        class Slow:
+            closed = False
+
+            def ask(self, kind, body, timeout):
+                clock[0] += 5.0  # this process slept while the answer lay there
+                return "answer"
+
+        bundle = Bundle(ME, SimpleNamespace(now=lambda: clock[0]))
+        with mock.patch.object(bundle, "link", lambda address, timeout: Slow()):
+            bundle.ask(PEERS[0], "mark")
+        self.assertEqual(bundle.heard, {PEERS[0]: 10.0})
+
+
+class Following(unittest.TestCase):
+    """Marks between refuges: what is on disks but on no board, links on which nothing comes any more."""
+
+    def marks(self, world, at, *others):
+        """Node `at` asks others, and itself, for marks, as its mesh does."""
+        me = world.nodes[at]
+        for node in (me, *(world.nodes[other] for other in others)):
+            me.mesh.take(node.address, world.now, node.mesh.on_mark(None, None))
+        return me.contact.age(world.voters, world.now)
+
+    def test_what_a_refuge_confirmed_before_it_died_is_learned_by_the_next_marks(self):
+        """It told no news; the stamps tell of it, and the age counts from before until it is known."""
+        world = World(3)
+        world.nodes[0].register.lives = {f"{address}": f"life {address}" for address in world.addresses}
+        self.assertEqual(self.marks(world, 1, 2), 0.0)
+        self.assertEqual(world.nodes[0].orders.put(4, table(4)), TAKEN)
+        world.nodes[0].orders.evacuate("north", True)
+        world.now += 1.0
+        world.cut = {(world.addresses[0], address) for address in world.addresses[1:]}
+        self.assertEqual(self.marks(world, 1, 2), 0.0)
+        self.assertEqual(world.nodes[1].board.parcels,
+                         {"timetable": (4, table(4)), "evac": (1, {"north": True})})
+
+    def test_until_it_is_learned_the_age_counts_from_before(self):
+        world = World(3)
+        self.marks(world, 1, 2)
+        world.nodes[0].orders.put(4, table(4))
+        world.now += 1.0
+        with mock.patch.object(Mesh, "seek", lambda self, key: None):
+            self.assertEqual(self.marks(world, 1, 2), 1.0)
+
+    def test_what_stands_on_a_minority_of_those_in_reach_is_read_after_a_moment(self):
+        """Five disks; the order is on three, two of which died: a mark tells of it, and a read settles it."""
+        world = World(5)
+        self.marks(world, 4, 2, 3)
+        self.assertEqual(world.nodes[0].orders.put(4, table(4)), TAKEN)
+        world.cut = {(world.addresses[lost], world.addresses[other])
+                     for lost in (0, 1) for other in (2, 3, 4)}
+        began = world.now
+        world.now += 0.1
+        self.assertAlmostEqual(self.marks(world, 4, 2, 3), 0.1)
+        self.assertEqual(world.nodes[4].board.parcels, {})
+        world.now = began + 0.11 + PATIENCE_S
+        self.marks(world, 4, 2, 3)
+        self.assertEqual(world.nodes[4].board.get("timetable"), table(4))
+        world.now += 0.1
+        self.assertEqual(self.marks(world, 4, 2, 3), 0.0)
+
+    def test_a_change_that_never_stood_is_settled_too(self):
+        """A lone accept of a writer that died: a read whose quorum lacks it covers its ballot."""
+        world = World(3)
+        world.nodes[0].orders.put(4, table(4))
+        for node in world.nodes:
+            self.marks(world, world.nodes.index(node), 0, 1, 2)
+        slots = world.nodes[2].register.acceptor.slots
+        slots["timetable"] = Slot((50, "x"), (50, "x"), Standing.of(table(9)).value())
+        for _ in range(3):
+            world.now += PATIENCE_S
+            age = self.marks(world, 0, 1, 2)
+        self.assertEqual(age, 0.0)
+
+    def test_a_voter_set_that_nobody_told_of_is_adopted(self):
+        world = World(3)
+        self.marks(world, 1, 2)
+        later = Voters(2, world.voters.old[:2], world.voters.old)
+        for node in world.nodes[1:]:
+            told = msgspec.msgpack.encode(later.row())
+            node.register.acceptor.slots["voters"] = Slot((7, "a"), (7, "a"), told)
+        self.marks(world, 1, 2)
+        self.assertEqual(world.nodes[1].register.voters, later)
+
+    def test_a_disk_that_may_not_vote_gives_no_mark(self):
+        world = World(3)
+        world.nodes[2].register.acceptor.voting = False
+        self.assertIsNone(world.nodes[2].mesh.on_mark(None, None))
+        self.assertEqual(self.marks(world, 1, 2), NEVER)
+
+    def test_a_link_on_which_nothing_comes_any_more_is_left(self):
+        """A cut one way: the link stays open and silent.  Its marks stop counting and it is dialled anew."""
+        world = World(3)
+        node, closed = world.nodes[0], []
+        answers = iter([[[], 0.1], {}, {}])
+
+        class Half:
+            def ask(self, kind, body, timeout):
+                answer = next(answers, None)
+                if answer is None:
+                    world.now += timeout
+                    raise link.Closed
+                return answer
+
+            def close(self):
+                closed.append(True)
+
+        node.dial = lambda address, handlers, timeout: Half()
+        node.news_age = lambda: 9.0
+        node.mesh.followed.add(PEERS[0])
+        node.mesh.follow(PEERS[0])
+        self.assertEqual((closed, node.mesh.followed), ([True], set()))
+        self.assertEqual(node.contact.asked[PEERS[0]], 100.0 + mesh.MARK_S)
+        self.assertGreater(world.now, 101.2)
+
+
+class SleptClocks(unittest.TestCase):
+    """Grants of keys, and the time of day."""
+
+    def keeping(self):
+        """A keeper whose change stood at 10.0, and a range that it grants."""
+        state, held = Keeping("k0", 10.0), Allocation.of(None)
+        state.step(held, 10.0, {}, lambda id: False, Heat(), set())
+        state.stands(held, 10.0, 10.0)
+        return state, held
+
+    def test_a_grant_leaves_only_within_the_lease_whenever_the_process_slept(self):
+        state, _ = self.keeping()
+        for late in (0.0, SEND - 0.01, SEND, SEND + 5):
+            self.assertEqual(state.goes_out(GRANT, Range(0, 9, "e", 3, HELD), 10.0 + late), late < SEND, late)
+        state.lost()
+        self.assertFalse(state.goes_out(GRANT, Range(0, 9, "e", 3, HELD), 10.0))
+
+    def test_a_process_that_slept_while_its_change_was_written_may_send_nothing(self):
+        """The lease counts from the beginning of the change, not from the answer."""
+        state, held = self.keeping()
+        state.stands(held, 20.0, 26.0)
+        self.assertFalse(state.goes_out(GRANT, Range(0, 9, "e", 3, HELD), 26.0))
+
+    def test_a_sleep_while_the_connection_comes_up_sends_nothing(self):
+        clock = [10.0]
+        keeper = Keeper("k0", "store", SimpleNamespace(host=SimpleNamespace(now=lambda: clock[0])), 10000,
+                        dict, None, None, None)
+        keeper.state, _ = self.keeping()
+        sent, listener = [], gevent.socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        self.addCleanup(listener.close)
+
+        def take():
+            while True:
+                sock, _ = listener.accept()
+                sent.append(sock.recv(100))
+                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                sock.close()
+
+        server = gevent.spawn(take)
+        self.addCleanup(server.kill)
+        r = Range(0, 9, "e", 3, HELD, addr=f"127.0.0.1:{listener.getsockname()[1]}")
+        self.assertEqual(keeper.exchange(GRANT, r), (200, None))
+        clock[0] += 5.0
+        self.assertEqual(keeper.exchange(GRANT, r), (None, None))
+        gevent.sleep(0)
+        self.assertEqual([bool(data) for data in sent], [True, False][:len(sent)])
+
+    def test_the_answer_to_a_release_that_lay_in_a_buffer_gives_nothing_away(self):
+        """Another has taken over meanwhile: the first may not change the allocation by what it reads late."""
+        state, held = self.keeping()
+        held.ranges = [Range(0, KEYS - 1, "e0", 3, LEAVING, addr="e0:80")]
+        state.stands(held, 10.0, 10.0)
+        self.assertEqual([kind for kind, _ in state.calls(10.0)], ["release"])
+        after = Allocation.of(held.rows())
+        after.keeper, after.epoch, after.beat = "k1", held.epoch + 1, held.beat + 1
+        state.answered("release", held.ranges[0], 200, "handover", 16.0)
+        self.assertFalse(state.due(after, 16.0))
+        self.assertFalse(state.goes_out(GRANT, held.ranges[0], 16.0))
+        # And once it takes over again, what it was told in the earlier epoch is forgotten.
+        self.assertTrue(state.due(after, 18.0))
+        self.assertTrue(state.step(after, 18.0, {}, lambda id: False, Heat(), set()))
+        self.assertEqual(after.ranges[0].state, LEAVING)
+        state.stands(after, 18.0, 18.0)
+        self.assertEqual(state.released, {})
+
+    def test_a_process_that_starts_again_after_its_time_of_day_went_back_is_believed(self):
+        """Its life comes from the time of day, so it is lower than what the others know of the one before."""
+        for state in (ALIVE, SUSPECTED, DEAD, LEFT_):
+            member = lambda name, ip, life: Member(name, "refuge", ip, 7, "z", "r", life=life)  # noqa: E731
+            others = Roster(member("b", "10.0.0.2", 5), lambda n: 0)
+            before = member("a", "10.0.0.1", 9000)
+            before.state, before.ready = state, True
+            others.take([before.row()], 0)
+            again = Roster(member("a", "10.0.0.1", 4), lambda n: 0)
+            mail = again.join([("10.0.0.2", 7)])
+            for _ in range(4):
+                back = [m for _, message in mail for m in others.hear(("10.0.0.1", 7), message, 1)]
+                mail = [m for _, message in back for m in again.hear(("10.0.0.2", 7), message, 1)]
+                mail += [(("10.0.0.2", 7), again.message("ping", 1))]
+            found = others.members["a"]
+            self.assertEqual((found.state, found.ready, found.life > 9000), (ALIVE, False, True), state)
+
+
 if __name__ == "__main__":
     unittest.main()
