--- a/flintreach/refuge/orders.py
+++ b/flintreach/refuge/orders.py
@@ -57,11 +57,15 @@
 
     def change(self, key: str, made: Callable, still: Callable[[], bool]) -> str:
         """`made(old)`: (what becomes of the order, the new value or None), as it is changed in the end."""
-        word = LATE
+        word, begun = LATE, False
 
         def step(old):
-            nonlocal word
-            word, value = made(old) if still() else (DROPPED, None)
+            nonlocal word, begun
+            if still():
+                word, value = made(old)
+                begun = begun or value is not None
+            else:  # what an attempt before this one told to acceptors may come to stand
+                word, value = LATE if begun else DROPPED, None
             return value
 
         done, value = self.plane.register.change(key, step, ACK_S)
--- a/tests/test_system_orders.py
+++ b/tests/test_system_orders.py
@@ -26,11 +26,12 @@
 from flintreach.refuge.control import ALONE, GONE, LARGE, LEFT, SLEPT, SMALL, TIMED, Control, Handler
 from flintreach.refuge.keys import Keeper
 from flintreach.refuge.mesh import Mesh
-from flintreach.refuge.orders import LATE, Orders
+from flintreach.refuge.orders import DROPPED, LATE, Orders
+from flintreach.refuge.plane import ControlPlane
 from flintreach.rope import link
 from flintreach.rope.bundle import Bundle
 from flintreach.trail.board import Board
-from flintreach.waymark import calls, timetable
+from flintreach.waymark import calls, settings, timetable
 from flintreach.waymark.timetable import AGAIN, FORGOTTEN, KEPT, OTHER, OVERTAKEN, TAKEN, Standing
 
 CALLS = {"beat", "leave", "put", "get", "evacuate", "resume", "resolve"}
@@ -409,6 +410,16 @@
             self.assertEqual({*self.away(world)}, {False})
         self.assertEqual(world.nodes[0].refusals, [LEFT] * 2)
 
+    def test_an_order_given_up_after_accepts_went_out_has_no_clear_answer(self):
+        """Its first attempt was told to acceptors and lost: that nothing changed may not be said."""
+        for may, word in (([False], DROPPED), ([True, False], LATE), ([True, True], TAKEN)):
+            def change(key, step, timeout, may=may):
+                return True, [step(None) for _ in may][-1]
+
+            looks = iter(may)
+            orders = Orders(SimpleNamespace(register=SimpleNamespace(change=change), board=Board()))
+            self.assertEqual(orders.evacuate("north", True, lambda: next(looks)), word)  # noqa: B023
+
     def test_a_repeat_is_acknowledged_and_is_no_change(self):
         world = World(3)
         for path in (ZONE + "finish", ZONE + "start", ZONE + "finish"):
@@ -521,6 +532,26 @@
                 self.assertEqual(ask()[0], 200, name)
 
 
+class Status(unittest.TestCase):
+    def test_an_operator_sees_how_old_contact_is_and_what_was_refused(self):
+        clock = [100.0]
+        host = SimpleNamespace(now=lambda: clock[0], now_ns=lambda: int(clock[0] * 1e9), spawn=None)
+        node = settings.parse("sender: {node_name: n, ip: 10.0.0.0, zone: z, region: r}\n"
+                              "network: {posts: {}, spare_ports: [7, 8]}\n")
+        plane = ControlPlane(node, Bundle(ME, host), None, None, list)
+        self.assertEqual(plane.show("status")[0]["contact_s"], NEVER)
+        plane.register.voters, plane.serving = THREE, True
+        for address, at in zip([ME, *PEERS], (99.0, 97.0, 90.0)):
+            plane.contact.heard(address, at, {}, 100.0)
+        for reason in (ALONE, SLEPT, ALONE):
+            plane.refused(reason)
+        clock[0] += 2.0
+        status = plane.show("status")[0]
+        self.assertEqual((status["contact_s"], plane.news_age()), (5.0, 5.0))
+        self.assertEqual(status["contacts_s"], "10.0.0.0 3.0 10.0.0.1 5.0 10.0.0.2 12.0")
+        self.assertEqual(status["refused"], "2 out of touch (2.0 s ago), 1 slept (2.0 s ago)")
+
+
 class Marks(unittest.TestCase):
     """What counts as contact: `Contact` by itself."""
 
