--- a/flintreach/refuge/orders.py
+++ b/flintreach/refuge/orders.py
@@ -1,9 +1,17 @@
 """The operator's orders at a refuge: the configuration and evacuations, as changes of the register."""
 
+from collections.abc import Callable
+
 import msgspec
 
+from flintreach.cairn.voters import Voters
+from flintreach.waymark import timetable
+from flintreach.waymark.timetable import Standing
+
 PACK, UNPACK = msgspec.msgpack.encode, msgspec.msgpack.decode
 ACK_S = 0.85  # callers move on after a second
+LATE, DROPPED = "late", "dropped"  # not known to stand within that time; not begun, or given up
+YES = lambda: True  # noqa: E731
 
 
 class Orders:
@@ -16,10 +24,13 @@
         if value is None:
             return
         if key == "timetable":
-            board.offer(key, int(msgspec.json.decode(value)["edition"], 16), value)
+            held = Standing.of(value)
+            board.offer(key, held.number, held.body)
         elif key == "evac":
             number, zones = UNPACK(value)
             board.offer(key, number, zones)
+        elif key == "voters":
+            self.plane.register.adopt(Voters.of(UNPACK(value)))
         elif key == "map":
             number, tables = UNPACK(value)
             if board.offer(key, number, number):
@@ -29,26 +40,57 @@
                 for name, ids in sorted(rows, key=lambda row: len(row[1])):  # what shrinks goes first
                     board.offer(f"slice/{name}", number, ids)
 
-    def put(self, number: int, body: bytes) -> bool:
+    def holds(self, key: str, value: bytes | None) -> bool:
+        """Whether this refuge's news have a value of the register, or a later one."""
+        if value is None:
+            return False
+        if key == "voters":
+            return Voters.of(UNPACK(value)).epoch <= self.plane.register.voters.epoch
+        number = Standing.of(value).number if key == "timetable" else UNPACK(value)[0]
+        held = self.plane.board.parcels.get(key)
+        return held is not None and held[0] >= number
+
+    def put(self, number: int, body: bytes, still: Callable[[], bool] = YES) -> str:
+        """What became of a configuration: a word of `timetable`, LATE or DROPPED.
+
+        `still()`: asked right before anything is told to acceptors, whether it may yet be done.
+        """
+        return self.change("timetable", lambda old: timetable.put(old, number, body), still)
+
+    def change(self, key: str, made: Callable, still: Callable[[], bool]) -> str:
+        """`made(old)`: (what becomes of the order, the new value or None), as it is changed in the end."""
+        word, begun = LATE, False
+
         def step(old):
-            if old is not None and int(msgspec.json.decode(old)["edition"], 16) >= number:
-                return None
-            return body
+            nonlocal word, begun
+            if still():
+                word, value = made(old)
+                begun = begun or value is not None
+            else:  # what an attempt before this one told to acceptors may come to stand
+                word, value = LATE if begun else DROPPED, None
+            return value
 
-        done, value = self.plane.register.change("timetable", step, ACK_S)
-        if done:
-            self.learn("timetable", value)
-        return done
+        done, value = self.plane.register.change(key, step, ACK_S)
+        if not done:
+            return LATE
+        self.learn(key, value)
+        return word
 
     def get(self) -> tuple[bool, bytes | None]:
-        return self.plane.register.read("timetable", ACK_S)
+        """Whether it is known what stands, and the configuration as it was put, None where there is none."""
+        done, value = self.plane.register.read("timetable", ACK_S)
+        return done, Standing.of(value).body if value is not None else None
 
-    def evacuate(self, zone: str, on: bool) -> bool:
-        def step(old):
+    def evacuate(self, zone: str, on: bool, still: Callable[[], bool] = YES) -> str:
+        """TAKEN or AGAIN, LATE or DROPPED.
+
+        The order has no number: one that was delayed must not act after a later one.  Ballots see to it from
+        the prepares on, as a later order's are higher; `still` is for what comes before, while it lay unread.
+        """
+        def made(old):
             number, zones = UNPACK(old) if old else (0, {})
-            return None if bool(zones.get(zone)) == on and old else PACK([number + 1, {**zones, zone: on}])
+            if old and bool(zones.get(zone)) == on:
+                return timetable.AGAIN, None
+            return timetable.TAKEN, PACK([number + 1, {**zones, zone: on}])
 
-        done, value = self.plane.register.change("evac", step, ACK_S)
-        if done:
-            self.learn("evac", value)
-        return done
+        return self.change("evac", made, still)
