A fault of ours among pipelined requests shifted all later answers by one

Cause: an exception in carrying ended the request's greenlet without an answer and let the next one go on, so the next answer stood in its place: response desynchronisation, the second request's answer for the first.

Change: such a request is answered 502 in its place and the fault is told; an answer that can't be written ends the connection; a wait for the answers before it is never left out. A pipelined request that a new configuration has just made one that must not run twice waits for those before it.

--- a/flintreach/bothy/front.py
+++ b/flintreach/bothy/front.py
@@ -5,6 +5,7 @@
 another are carried side by side and answered in order.
 """
 
+import sys
 import time
 
 import gevent
@@ -193,7 +194,7 @@
             if not self.closing:
                 self.pending += 1
                 try:
-                    self.answer(request, carrier.carry(request), close)
+                    self.answer(request, self.carried(request), close)
                 finally:
                     self.pending -= 1
             return
@@ -205,18 +206,32 @@
 
     def beside(self, request: Request, before: Event | None, done: Event) -> None:
         try:
-            answer = self.server.carrier.carry(request)
+            # Looked up anew: by a configuration that has just come it may be one that must not run twice.
+            if before is not None and not self.server.carrier.alike(request):
+                before.wait()
+            answer = None if self.closing else self.carried(request)
             if before is not None:
                 before.wait()
             if not self.closing:
                 self.answer(request, answer, False)
-        except OSError:
+        except Exception as error:
+            # Without this answer the next would stand in its place.
             self.closing = True
             self.end()
+            if not isinstance(error, OSError):
+                raise
         finally:
             self.pending -= 1
             done.set()
 
+    def carried(self, request: Request) -> Answer:
+        """Its answer, whatever happens: a gap among the answers would be filled by the next one."""
+        try:
+            return self.server.carrier.carry(request)
+        except Exception:
+            gevent.get_hub().handle_error(self, *sys.exc_info())
+            return own(502)  # no promise: it may have run
+
     def refuse(self, status: int) -> None:
         """What could not be read ends its connection, behind the answers to what came before it."""
         if self.last is not None:
--- a/tests/test_system_answers.py
+++ b/tests/test_system_answers.py
@@ -280,6 +280,27 @@
                 self.assertEqual(mine.end(), b"")
         return got
 
+    def test_a_fault_in_carrying_leaves_no_gap_for_the_next_answer(self):
+        stage = self.stage
+        stage.renew()
+        sent = [stage.request("look") for _ in range(4)]
+        carry = stage.carrier.carry
+
+        def falls(request):
+            if request.low["x-try-id"] == sent[1].id:
+                raise KeyError("a fault of ours")
+            return carry(request)
+        client = Client(stage.front.address)
+        with (mock.patch.object(stage.carrier, "carry", falls), gevent.Timeout(5),
+              mock.patch.object(gevent.get_hub(), "handle_error") as told):
+            for one in sent:
+                stage.say(client, one)
+            got = [client.hear(one) for one in sent]
+        self.assertEqual([(one.status, one.headers["x-try-id"]) for one in got],
+                         [(502 if one is sent[1] else 200, one.id) for one in sent])
+        self.assertEqual(told.call_count, 1)
+        client.end()
+
     def behind_one_that_closes(self, **patches):
         """How often a request that must not run twice has run, sent behind one whose answer closes: the
         client sends it again, as nobody has read it."""
@@ -312,6 +333,10 @@
     def test_what_must_not_run_twice_does_not_run_behind_an_answer_that_closes(self):
         self.assertEqual(self.behind_one_that_closes(), 0)
 
+    def test_a_configuration_may_come_between_reading_and_carrying(self):
+        alike = iter([True, True, False])  # as it is read, and as it is carried
+        self.assertEqual(self.behind_one_that_closes(alike=lambda request: next(alike)), 0)
+
     def test_the_next_owner_of_an_address_runs_nothing(self):
         stage = self.stage
         for kind in ("look", "book", "keyed"):
