100 Continue was written ahead of earlier answers, or inside one

Cause: `Expect: 100-continue` was answered by the reader at once, while answers to pipelined requests before it were due, or half written by another greenlet.

Change: it waits for them; where they close the connection no body is asked for.

--- a/flintreach/bothy/front.py
+++ b/flintreach/bothy/front.py
@@ -137,6 +137,8 @@
                 if head is None:
                     return None
                 request = parse(head)
+            if not self.go_on(request):
+                return None
             with gevent.Timeout(limits.dwell_ms / 1000):
                 request.body = self.body(request, limits.contents_bytes)
         except gevent.Timeout:
@@ -144,9 +146,18 @@
         request.came = time.monotonic_ns()
         return request
 
-    def body(self, request: Request, most: int) -> bytes:
+    def go_on(self, request: Request) -> bool:
+        """Ask for a body that waits to be asked for.  False where the connection ends first."""
         if request.low.get("expect", "").lower() == "100-continue":
+            # An answer to what came before may be half written: nothing may stand inside it or before it.
+            if self.last is not None:
+                self.last.wait()
+            if self.closing:
+                return False
             self.socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        return True
+
+    def body(self, request: Request, most: int) -> bytes:
         if "transfer-encoding" in request.low:
             return self.chunks(most)
         length = int(request.low.get("content-length", 0))
--- a/tests/test_system_answers.py
+++ b/tests/test_system_answers.py
@@ -337,6 +337,30 @@
         alike = iter([True, True, False])  # as it is read, and as it is carried
         self.assertEqual(self.behind_one_that_closes(alike=lambda request: next(alike)), 0)
 
+    def test_an_interim_answer_of_ours_stands_behind_what_came_before(self):
+        stage, go = self.stage, Event()
+        stage.renew()
+        look, put, carry = stage.request("look"), stage.request("put"), stage.carrier.carry
+
+        def slow(request):
+            go.wait()
+            return carry(request)
+        client = Client(stage.front.address)
+        with mock.patch.object(stage.carrier, "carry", slow), gevent.Timeout(5):
+            client.say(look)
+            client.say(put._replace(method="PUT", body=b""), "Expect: 100-continue",
+                       f"Content-Length: {len(put.body)}")
+            gevent.spawn_later(0.02, go.set)
+            self.assertEqual(client.hear(look).headers["x-try-id"], look.id)
+            client.need(lambda held: held.endswith(b"\r\n\r\n"))
+            self.assertEqual(client.buffer, b"HTTP/1.1 100 Continue\r\n\r\n")
+            client.buffer = b""
+            client.sock.sendall(put.body)
+            got = client.hear(put)
+        client.end()
+        stage.settle()
+        self.assertEqual((got.status, stage.judge(put._replace(method="PUT"), got)), (200, ""))
+
     def test_the_next_owner_of_an_address_runs_nothing(self):
         stage = self.stage
         for kind in ("look", "book", "keyed"):
