Digits that int() refuses in a header broke off a request that had run

Cause: `str.isdigit` takes digits such as superscripts, and `int` refuses those and numbers of thousands of digits. An endpoint's X-Endpoint-Load or Keep-Alive, or a client's X-Time-Left-Ms or X-Shard-Key, so raised amid the exchange; a request that must not run twice had run and its good answer was lost.

Change: one reader of counts in headers, `reply.number`, which passes over what is none.

--- a/flintreach/bothy/carry.py
+++ b/flintreach/bothy/carry.py
@@ -21,6 +21,7 @@
 )
 from flintreach.bothy.endpoint import ANSWERED, BROKEN, IDLE, NOT_RUN, UNSENT, Outcome, exchange
 from flintreach.bothy.gate import WAIT, Gate
+from flintreach.bothy.reply import number
 from flintreach.bothy.world import World, slice_of
 from flintreach.bunks.plan import BUCKET, KEYS
 from flintreach.trail.tally import Tally
@@ -116,13 +117,13 @@
             self.count("no_route")
             return own(404)
         line, now = self.line(route), time.monotonic_ns()
-        wait = request.low.get("x-time-left-ms", "")
-        until = request.came + min(route.deadline, int(wait) * MS if wait.isdigit() else route.deadline)
+        wait = number(request.low.get("x-time-left-ms", ""))
+        until = request.came + min(route.deadline, route.deadline if wait is None else wait * MS)
         self.tally.request(slice_of(route, line))
         budget = self.budget(line)
         budget.request(now)
-        told = request.low.get("x-shard-key", "")
-        key = int(told) if told.isascii() and told.isdigit() and int(told) < KEYS else None
+        key = number(request.low.get("x-shard-key", ""))
+        key = key if key is not None and key < KEYS else None
         if key is not None and self.world.sharded(line):
             self.tally.key(line, key // BUCKET)
         size = self.gate.size(route.name, route.kind == "outbound_post")
@@ -240,10 +241,10 @@
     def judge(self, hut, line, outcome, now, took) -> None:
         message = outcome.message
         if message is not None:
-            load = (message.get("x-endpoint-load") or "").split(",")
-            if len(load) == 3 and all(part.strip().isdigit() for part in load):
-                hut.hears(int(load[0]), int(load[1]), now)
-                self.tally.told(hut.id, (int(load[0]) + int(load[1])) / hut.berths)
+            load = [number(part.strip()) for part in (message.get("x-endpoint-load") or "").split(",")]
+            if len(load) == 3 and None not in load:
+                hut.hears(load[0], load[1], now)
+                self.tally.told(hut.id, (load[0] + load[1]) / hut.berths)
         if outcome.kind == ANSWERED:
             hut.well()
             if self.world.sharded(line):
--- a/flintreach/bothy/endpoint.py
+++ b/flintreach/bothy/endpoint.py
@@ -11,7 +11,7 @@
 import gevent
 from gevent import socket
 
-from flintreach.bothy.reply import HTTPParseError, Replies
+from flintreach.bothy.reply import HTTPParseError, Replies, number
 from flintreach.waymark.settings import place
 
 ANSWERED, UNSENT, NOT_RUN, BROKEN, TIMEOUT = "answered", "unsent", "not run", "broken", "timeout"
@@ -91,8 +91,8 @@
         wire.idle_at, wire.keep = time.monotonic_ns(), min(IDLE, most)
         for part in told.split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
-                wire.keep = min(wire.keep, max(0, int(value) * 1_000_000_000 - 1_000_000_000))
+            if name.lower() == "timeout" and (seconds := number(value)) is not None:
+                wire.keep = min(wire.keep, max(0, seconds * 1_000_000_000 - 1_000_000_000))
         if wire.keep > 0:
             self.idle.append(wire)
         else:
--- a/flintreach/bothy/reply.py
+++ b/flintreach/bothy/reply.py
@@ -7,7 +7,13 @@
 
 from geventhttpclient._parser import HTTPParseError, HTTPResponseParser
 
-__all__ = ["HTTPParseError", "Message", "Replies"]
+__all__ = ["HTTPParseError", "Message", "Replies", "number"]
+
+
+def number(text: str) -> int | None:
+    """A count as a header gives it, in decimal digits; None where it is none.  `str.isdigit` alone takes
+    digits that `int` refuses, and `int` refuses thousands of them: both would raise amid an answer."""
+    return int(text) if text.isascii() and text.isdigit() and len(text) <= 15 else None
 
 
 class Message:
--- a/tests/test_system_answers.py
+++ b/tests/test_system_answers.py
@@ -361,6 +361,15 @@
         stage.settle()
         self.assertEqual((got.status, stage.judge(put._replace(method="PUT"), got)), (200, ""))
 
+    def test_odd_numbers_of_a_client_are_passed_over(self):
+        stage = self.stage
+        stage.renew()
+        for value in ("\xb2", "9" * 5000, "-1", "1e3", ""):
+            for name, kind in (("X-Time-Left-Ms", "book"), ("X-Shard-Key", "look")):
+                sent = stage.request(kind)
+                self.assertEqual(self.one(sent, f"{name}: {value}").status, 200, (name, value[:9]))
+        stage.settle()
+
     def test_the_next_owner_of_an_address_runs_nothing(self):
         stage = self.stage
         for kind in ("look", "book", "keyed"):
