An endpoint's 503, 429 or 408 without X-Not-Delivered was passed on as a promise

Cause: only X-Not-Delivered (or 421) tells that a request has not run, but a bare busy status went to the client unchanged, where it is a promise; a 2xx with X-Not-Delivered was taken for a refusal, and 503 answered for what had run.

Change: `verdict` tells what an answer says of its request; a busy status without the header, and the header on a status that is no refusal, are broken answers: 502, or another endpoint where the request may be repeated.

--- a/flintreach/bothy/endpoint.py
+++ b/flintreach/bothy/endpoint.py
@@ -11,13 +11,14 @@
 import gevent
 from gevent import socket
 
-from flintreach.bothy.reply import HTTPParseError, Replies, number
+from flintreach.bothy.reply import HTTPParseError, Message, Replies, number
 from flintreach.waymark.settings import place
 
 ANSWERED, UNSENT, NOT_RUN, BROKEN, TIMEOUT = "answered", "unsent", "not run", "broken", "timeout"
 RESET = struct.pack("ii", 1, 0)
 IDLE = 4_000_000_000  # ns that a connection may lie idle when the endpoint tells nothing
 MUTE_MS = 1200  # without a sign from the machine's kernel for so long, a connection is dead
+REFUSED = (400, 408, 421, 429, 503)  # statuses with which X-Not-Delivered is believed
 LOOK_S = 0.003  # seconds for which a fresh connection is looked at: an endpoint that has too many resets it
 
 
@@ -118,6 +119,21 @@
     return True  # bytes before any request are no answer either
 
 
+def verdict(message: Message) -> str:
+    """What an answer to a request tells of it.
+
+    Only a refusal is a promise that it has not run: a busy status without one may come after the work, and
+    passed on it would be a promise of ours.
+    """
+    status = message.status
+    refusal = message.get("x-not-delivered") is not None
+    if status == 421 or refusal and status in REFUSED:
+        return NOT_RUN
+    if refusal or status in (408, 429, 503):
+        return BROKEN
+    return ANSWERED
+
+
 def exchange(wires: Wires, head: bytes, body: bytes, id: str, until: int, connect_s: float,
              most: int = IDLE, still=lambda: True) -> Outcome:
     """Send one request; `until`: steady nanoseconds at which nobody waits for the answer any more; `most`:
@@ -153,10 +169,9 @@
                 # An old answer may stand in the place of ours: the id tells.
                 found = next((m for m in replies.whole if (m.get("x-try-id") or "") == id), None)
                 if found is not None:
+                    kind = verdict(found)
                     lone = len(replies.whole) == 1 and not replies.begun and not replies.parser_failed()
-                    keep = found.keep and lone and replies.framed
-                    refused = found.get("x-not-delivered") is not None or found.status == 421
-                    kind = NOT_RUN if refused else ANSWERED
+                    keep = found.keep and lone and replies.framed and kind != BROKEN
                     return Outcome(kind, found)
                 if replies.parser_failed():
                     break
