A success without its stamp, or in a coding nobody asked for, reached the client

Cause: any whole message with the right id was passed on: a 2xx without X-Postmark, with a Content-Encoding, with its body in a transfer coding whose header ends at this hop (the client got coded bytes as the plain body), or with a status that is none.

Change: these are broken answers.

--- a/flintreach/bothy/endpoint.py
+++ b/flintreach/bothy/endpoint.py
@@ -123,13 +123,18 @@
     """What an answer to a request tells of it.
 
     Only a refusal is a promise that it has not run: a busy status without one may come after the work, and
-    passed on it would be a promise of ours.
+    passed on it would be a promise of ours.  A success without its stamp, or in a coding that nobody asked
+    for, is not the endpoint's body.
     """
-    status = message.status
+    status, coding = message.status, (message.get("content-encoding") or "identity").lower()
     refusal = message.get("x-not-delivered") is not None
     if status == 421 or refusal and status in REFUSED:
         return NOT_RUN
-    if refusal or status in (408, 429, 503):
+    if refusal or status in (408, 429, 503) or not 200 <= status <= 599:
+        return BROKEN
+    if status < 300 and message.get("x-postmark") is None:
+        return BROKEN
+    if coding != "identity" or (message.get("transfer-encoding") or "chunked").lower() != "chunked":
         return BROKEN
     return ANSWERED
 
--- a/flintreach/standins/adversary.py
+++ b/flintreach/standins/adversary.py
@@ -240,7 +240,11 @@
     "earlier, then ours": lambda it, asked, line: (it.last + it.runs(asked), True),
     "other id": answers(id="another"),
     "no id": answers(id=None),
+    "no stamp": answers(stamp=False),
+    "encoded": answers("200 OK", "Content-Encoding: gzip"),
+    "encoded on its way": lambda it, asked, line: chunked(it, asked, line, coding="deflate, chunked"),
     "garbage": run_and(b"\x00\x01 no answer \r\n\r\n"),
     "garbage behind": lambda it, asked, line: (it.runs(asked) + b"\x00\x01\r\n\r\n", True),
     "switching": run_and(b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"),
+    "odd status": answers("999 Odd", stamp=False),
 }
