An id in a trailer, or one of two, made an answer ours

Cause: the parser's callbacks give trailers like headers, so an answer without an id became one with the id, the stamp or the refusal that its trailer named; of two X-Try-Id the first counted.

Change: trailers are passed over, and an answer belongs to a request only if it names no other.

--- a/flintreach/bothy/endpoint.py
+++ b/flintreach/bothy/endpoint.py
@@ -172,7 +172,7 @@
                 except HTTPParseError:
                     pass  # what was whole before the garbage counts
                 # An old answer may stand in the place of ours: the id tells.
-                found = next((m for m in replies.whole if (m.get("x-try-id") or "") == id), None)
+                found = next((message for message in replies.whole if message.answers(id)), None)
                 if found is not None:
                     kind = verdict(found)
                     lone = len(replies.whole) == 1 and not replies.begun and not replies.parser_failed()
--- a/flintreach/bothy/reply.py
+++ b/flintreach/bothy/reply.py
@@ -26,6 +26,11 @@
         """The value of a header, its name in lower case; the first where it stands twice."""
         return next((value for key, value in self.headers if key.lower() == name), None)
 
+    def answers(self, id: str) -> bool:
+        """Whether it belongs to the request with this id: one that names two belongs to neither."""
+        named = {value for key, value in self.headers if key.lower() == "x-try-id" and value}
+        return named == ({id} if id else set())
+
 
 class Replies(HTTPResponseParser):
     """`whole`: messages that have ended, interim ones left out.  `begun`: another has begun behind them."""
@@ -35,14 +40,18 @@
         self.bare = bare  # answers to HEAD have no body, whatever their length says
         self.whole: list[Message] = []
         self.now, self.begun, self.field, self.is_value, self.framed = Message(), False, None, False, False
+        self.in_body = False
 
     def _on_message_begin(self):
         self.now, self.begun, self.field, self.is_value, self.framed = Message(), True, None, False, False
+        self.in_body = False
 
     def _on_status(self, text):
         self.now.reason += text
 
     def _on_header_field(self, text):
+        if self.in_body:  # a trailer: it must not pass for an id or a stamp
+            return
         if self.is_value or self.field is None:
             self.now.headers.append([text, ""])
         else:
@@ -50,11 +59,13 @@
         self.field, self.is_value = text, False
 
     def _on_header_value(self, text):
+        if self.in_body:
+            return
         self.now.headers[-1][1] += text
         self.is_value = True
 
     def _on_headers_complete(self):
-        self.now.status = self.get_code()
+        self.now.status, self.in_body = self.get_code(), True
         self.framed = any(name.lower() in ("content-length", "transfer-encoding")
                           for name, _ in self.now.headers)
         return self.bare
--- a/flintreach/standins/adversary.py
+++ b/flintreach/standins/adversary.py
@@ -240,6 +240,10 @@
     "earlier, then ours": lambda it, asked, line: (it.last + it.runs(asked), True),
     "other id": answers(id="another"),
     "no id": answers(id=None),
+    "two ids": lambda it, asked, line: (it.runs(asked).replace(
+        b"X-Postmark", b"X-Try-Id: another\r\nX-Postmark"), True),
+    "id in the trailer": lambda it, asked, line: chunked(
+        it, asked, line, f"X-Try-Id: {asked.id}\r\nX-Postmark: t\r\n", id=None),
     "no stamp": answers(stamp=False),
     "encoded": answers("200 OK", "Content-Encoding: gzip"),
     "encoded on its way": lambda it, asked, line: chunked(it, asked, line, coding="deflate, chunked"),
