A surplus refusal passed for the answer to the same try sent again

Cause: the id tells requests apart, not two sends of one try on one connection. A holder of keys that refuses is asked again within a part of the aim, on the connection used last: a second copy of its refusal then stood for the answer, and 503 was answered, or a third send made, while the second ran.

Change: a request keeps the connections it went out on and never goes out on one again.

--- a/flintreach/bothy/carry.py
+++ b/flintreach/bothy/carry.py
@@ -47,6 +47,7 @@
     body: bytes = b""
     came: int = 0
     low: dict[str, str] = field(default_factory=dict)  # by lower name
+    wires: list = field(default_factory=list)  # connections that it went out on
 
 
 @dataclass(slots=True)
@@ -201,7 +202,7 @@
             if depot:
                 idle = idle_for(hut, self.world.here, depot.berth_cap, IDLE, depot.sharded)
             outcome = exchange(hut.wires, head, request.body, id, until, CONNECT_S, idle,
-                               lambda: self.world.takes(hut))
+                               lambda: self.world.takes(hut), request.wires)
             return outcome
         finally:
             after = time.monotonic_ns()
--- a/flintreach/bothy/endpoint.py
+++ b/flintreach/bothy/endpoint.py
@@ -77,14 +77,19 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
         return Wire(sock)
 
-    def take(self) -> Wire | None:
-        now = time.monotonic_ns()
-        while self.idle:
-            wire = self.idle.pop()
-            if wire.usable(now):
-                return wire
-            wire.drop()
-        return None
+    def take(self, but=()) -> Wire | None:
+        """An idle connection that is well, none of `but`; None where there is none."""
+        now, aside = time.monotonic_ns(), [wire for wire in self.idle if wire in but]
+        self.idle = [wire for wire in self.idle if wire not in but] if aside else self.idle
+        try:
+            while self.idle:
+                wire = self.idle.pop()
+                if wire.usable(now):
+                    return wire
+                wire.drop()
+            return None
+        finally:
+            self.idle += aside
 
     def put(self, wire: Wire, message, most: int) -> None:
         """Keep a connection for later, `most` nanoseconds at the longest."""
@@ -140,10 +145,13 @@
 
 
 def exchange(wires: Wires, head: bytes, body: bytes, id: str, until: int, connect_s: float,
-             most: int = IDLE, still=lambda: True) -> Outcome:
+             most: int = IDLE, still=lambda: True, used: list | None = None) -> Outcome:
     """Send one request; `until`: steady nanoseconds at which nobody waits for the answer any more; `most`:
-    nanoseconds for which its connection may lie idle afterwards; `still()`: whether it may be sent there."""
-    wire = wires.take()
+    nanoseconds for which its connection may lie idle afterwards; `still()`: whether it may be sent there;
+    `used`: connections that this request went out on before, to which its own is added."""
+    # The id tells answers apart, so none goes twice on one connection.
+    used = [] if used is None else used
+    wire = wires.take(used)
     if wire is None:
         left = (until - time.monotonic_ns()) / 1e9
         if left <= 0:
@@ -159,6 +167,7 @@
         # While the connection came up, news came: the endpoint leaves, or its zone is emptied.
         wire.drop()
         return Outcome(UNSENT)
+    used.append(wire)
     replies, kind, keep = Replies(head.startswith(b"HEAD ")), BROKEN, False
     try:
         with gevent.Timeout(max(0.0, (until - time.monotonic_ns()) / 1e9)):
--- a/flintreach/standins/adversary.py
+++ b/flintreach/standins/adversary.py
@@ -225,6 +225,7 @@
                             f"Keep-Alive: timeout={'9' * 5000}"),
     "head with body": with_body,
     "503": refuses("503"), "429": refuses("429"), "421": refuses("421"), "400": refuses("400"),
+    "refused twice": refused_twice,
     "bare 503": answers("503 Service Unavailable", body=b"busy", stamp=False),
     "bare 429": answers("429 Too Many Requests", body=b"busy", stamp=False),
     "bare 408": answers("408 Request Timeout", body=b"busy", stamp=False),
--- a/tests/test_system_answers.py
+++ b/tests/test_system_answers.py
@@ -267,6 +267,13 @@
                     self.check(found, self.stage.counts)
                     self.assertEqual({got.status for _, got in found} - {200, 204}, set())
 
+    def test_two_troubles_at_a_holder_of_keys(self):
+        for first in ("503", "421", "refused twice", "surplus later", "late", "earlier", "interim", "cut"):
+            for second in ("refused twice", "late"):
+                with self.subTest(first=first, second=second):
+                    found = self.play([[], [], [first, second]], ["keyed"] * 3)
+                    self.check(found, self.stage.counts)
+
 
 class Ways(OnSockets):
     """One trace each."""
@@ -391,6 +398,16 @@
                 self.assertIn(answer.status, (200, 503))
                 self.assertLessEqual(stage.ran(each), answer.status == 200)
 
+    def test_no_try_goes_twice_on_one_connection(self):
+        """Its holder refuses it, then runs it: a surplus refusal has the id of the answer that is due."""
+        stage = self.stage
+        stage.renew([[], [], ["refused twice"]])
+        before, sent = stage.huts[2].opened, stage.request("keyed")
+        got = self.one(sent, "X-Shard-Key: 7")
+        stage.settle()
+        self.assertEqual((stage.judge(sent, got), got.status, stage.ran(sent)), ("", 200, 1))
+        self.assertEqual(stage.huts[2].opened - before, 2)
+
     def test_an_idle_connection_is_looked_at_before_it_is_used(self):
         """Closed, reset, or with bytes on it: what must not run twice would be lost, with no promise."""
         stage, there = self.stage, self.stage.huts[2]
