A request without an id could get the answer to another one without an id

Cause: no id matched no id, so on a kept connection a surplus answer to one such request passed for the next.

Change: such a request has a fresh connection, which is not kept.

--- a/flintreach/bothy/endpoint.py
+++ b/flintreach/bothy/endpoint.py
@@ -149,9 +149,9 @@
     """Send one request; `until`: steady nanoseconds at which nobody waits for the answer any more; `most`:
     nanoseconds for which its connection may lie idle afterwards; `still()`: whether it may be sent there;
     `used`: connections that this request went out on before, to which its own is added."""
-    # The id tells answers apart, so none goes twice on one connection.
+    # The id tells answers apart, so none goes twice on one connection, and one without an id goes alone.
     used = [] if used is None else used
-    wire = wires.take(used)
+    wire = wires.take(used) if id else None
     if wire is None:
         left = (until - time.monotonic_ns()) / 1e9
         if left <= 0:
@@ -185,7 +185,7 @@
                 if found is not None:
                     kind = verdict(found)
                     lone = len(replies.whole) == 1 and not replies.begun and not replies.parser_failed()
-                    keep = found.keep and lone and replies.framed and kind != BROKEN
+                    keep = found.keep and lone and replies.framed and kind != BROKEN and id != ""
                     return Outcome(kind, found)
                 if replies.parser_failed():
                     break
--- a/tests/test_system_answers.py
+++ b/tests/test_system_answers.py
@@ -368,6 +368,21 @@
         stage.settle()
         self.assertEqual((got.status, stage.judge(put._replace(method="PUT"), got)), (200, ""))
 
+    def test_a_request_without_an_id_shares_its_connection_with_nobody(self):
+        """Nothing tells its answer from another's."""
+        stage = self.stage
+        stage.renew([[], [], ["answer", "surplus later", "surplus later"]])
+        client, found, hut = Client(stage.front.address), [], stage.world.huts["k0"]
+        before = stage.huts[2].opened
+        for name, id in (("first", "17"), ("second", ""), ("third", ""), ("fourth", "18")):
+            sent = Sent("keyed", id, "POST", f"/k/{name}", b"")
+            found.append(self.one(sent, "X-Shard-Key: 7", client=client).body.split(b" ")[3])
+            found.append((stage.huts[2].opened - before, len(hut.wires.idle)))
+        client.end()
+        stage.settle()
+        self.assertEqual(found, [b"/k/first", (1, 1), b"/k/second", (2, 1), b"/k/third", (3, 1),
+                                 b"/k/fourth", (3, 1)])
+
     def test_odd_numbers_of_a_client_are_passed_over(self):
         stage = self.stage
         stage.renew()
