HEAD was answered with a length of 0 that no endpoint told, 204 with a body's length

Cause: an answer without Content-Length (chunked, or to HEAD without one) got the length of what had been read of its body, which for HEAD is nothing; and 204 kept an endpoint's Content-Length, for which a client may wait.

Change: HEAD has the endpoint's length or none, 204 none.

--- a/flintreach/bothy/carry.py
+++ b/flintreach/bothy/carry.py
@@ -59,6 +59,11 @@
     close: bool = False
 
 
+def hops(connection: str) -> set[str]:
+    """Headers that concern one connection only, with those that its `Connection` header names."""
+    return HOP | {name.strip().lower() for name in connection.split(",")}
+
+
 def own(status: int, again: str | None = None, why: str = "") -> Answer:
     """An answer of the system's own."""
     headers = [("Retry-After", again)] if again else []
@@ -82,7 +87,7 @@
         return self.budgets[line]
 
     def head(self, request: Request, hut, left: int) -> bytes:
-        dropped = HOP | {name.strip().lower() for name in request.low.get("connection", "").split(",")}
+        dropped = hops(request.low.get("connection", ""))
         lines = [f"{request.method} {request.target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in request.headers if name.lower() not in dropped]
         lines += [f"X-Time-Left-Ms: {max(1, left // MS)}", f"X-Expect-Endpoint: {hut.id}"]
@@ -265,11 +270,11 @@
                 hut.wires.close()
 
     def passed(self, message, request) -> Answer:
-        named = (message.get("connection") or "").split(",")
-        dropped = HOP - {"content-length"} | {name.strip().lower() for name in named}
+        dropped = hops(message.get("connection") or "")
+        if message.status == 304 or request.method == "HEAD" and message.status != 204:
+            dropped -= {"content-length"}  # of the body that a GET would have had
         headers = [(name, value) for name, value in message.headers if name.lower() not in dropped]
         if request.method != "HEAD" and message.status not in (204, 304):
-            headers = [(name, value) for name, value in headers if name.lower() != "content-length"]
             headers.append(("Content-Length", str(len(message.body))))
         return Answer(message.status, message.reason, headers, bytes(message.body))
 
--- a/flintreach/bothy/front.py
+++ b/flintreach/bothy/front.py
@@ -262,13 +262,14 @@
         id = request.low.get("x-try-id") if request else None
         if id and "x-try-id" not in names:
             lines.append(f"X-Try-Id: {id}")
-        if "content-length" not in names and answer.status not in (204, 304):
+        # To HEAD there is only the length that the endpoint told: none is not nought.
+        bare = request is not None and request.method == "HEAD"
+        if "content-length" not in names and answer.status not in (204, 304) and not bare:
             lines.append(f"Content-Length: {len(answer.body)}")
         if close:
             lines.append("Connection: close")
         head = "\r\n".join([*lines, "", ""]).encode("latin-1")
-        body = b"" if request is not None and request.method == "HEAD" else answer.body
-        self.socket.sendall(head + body)
+        self.socket.sendall(head if bare else head + answer.body)
         if close:
             # A close over unread bytes resets, and the reset may overtake the answer.
             self.socket.shutdown(socket.SHUT_WR)
--- a/flintreach/standins/adversary.py
+++ b/flintreach/standins/adversary.py
@@ -218,8 +218,12 @@
     "answer": answers(),
     "fails": answers("500 Internal Server Error", stamp=False, body=b"failed"),
     "close told": lambda it, asked, line: (it.runs(asked, "200 OK", "Connection: close"), False),
+    "chunked": chunked,
     "interim": interim,
     "empty": answers("204 No Content", body=b"", framed=False),
+    "empty with a length": lambda it, asked, line: (it.runs(asked, "204 No Content", body=b"").replace(
+        b"Content-Length: 0", b"Content-Length: 7"), True),
+    "no length": lambda it, asked, line: (it.runs(asked, framed=False), asked.method == "HEAD"),
     "odd load": answers("200 OK", "X-Endpoint-Load: \xb2,0,1", "Keep-Alive: timeout=\xb2"),
     "long numbers": answers("200 OK", f"X-Endpoint-Load: 1,2,{'9' * 5000}",
                             f"Keep-Alive: timeout={'9' * 5000}"),
