`Connection: X-Postmark, X-Try-Id` took stamp and id off an answer

Cause: all that a `Connection` header names was dropped, also what tells whose an answer is: a client could so have its id taken off a request, an endpoint its stamp off a success.

Change: id, stamp, key and host stay.

--- a/flintreach/bothy/carry.py
+++ b/flintreach/bothy/carry.py
@@ -31,6 +31,8 @@
 HOP = {"connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
        "trailer", "transfer-encoding", "upgrade", "content-length", "expect", "x-expect-endpoint",
        "x-time-left-ms"}
+# What a `Connection` header may not take away: by these it is told whose a request or an answer is.
+END_TO_END = {"host", "x-try-id", "x-postmark", "x-shard-key"}
 PAUSE = "0.1"  # seconds after which one that was turned away may come again
 REASONS = {400: "Bad Request", 404: "Not Found", 408: "Request Timeout", 413: "Content Too Large",
            431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
@@ -61,7 +63,7 @@
 
 def hops(connection: str) -> set[str]:
     """Headers that concern one connection only, with those that its `Connection` header names."""
-    return HOP | {name.strip().lower() for name in connection.split(",")}
+    return HOP | {name.strip().lower() for name in connection.split(",")} - END_TO_END
 
 
 def own(status: int, again: str | None = None, why: str = "") -> Answer:
--- a/flintreach/standins/adversary.py
+++ b/flintreach/standins/adversary.py
@@ -227,6 +227,7 @@
     "odd load": answers("200 OK", "X-Endpoint-Load: \xb2,0,1", "Keep-Alive: timeout=\xb2"),
     "long numbers": answers("200 OK", f"X-Endpoint-Load: 1,2,{'9' * 5000}",
                             f"Keep-Alive: timeout={'9' * 5000}"),
+    "hop": answers("200 OK", "Connection: X-Postmark, X-Try-Id, keep-alive"),
     "head with body": with_body,
     "503": refuses("503"), "429": refuses("429"), "421": refuses("421"), "400": refuses("400"),
     "refused twice": refused_twice,
--- a/tests/test_system_answers.py
+++ b/tests/test_system_answers.py
@@ -392,6 +392,16 @@
                 self.assertEqual(self.one(sent, f"{name}: {value}").status, 200, (name, value[:9]))
         stage.settle()
 
+    def test_a_client_can_not_have_an_id_taken_off_its_request(self):
+        stage = self.stage
+        stage.renew()
+        sent = stage.request("book")
+        got = self.one(sent, "Connection: X-Try-Id, Host, X-Other", "X-Other: 1")
+        stage.settle()
+        self.assertEqual((got.status, stage.judge(sent, got), stage.ran(sent)), (200, "", 1))
+        asked, = [asked for hut in stage.huts for asked in hut.came]
+        self.assertEqual(("x-other" in asked.low, asked.low["host"]), (False, "a"))
+
     def test_the_next_owner_of_an_address_runs_nothing(self):
         stage = self.stage
         for kind in ("look", "book", "keyed"):
