What is read for one answer had no bound but the deadline

Cause: bytes and surplus messages were kept until the deadline.

Change: 64 MiB, and eight whole messages that belong to others; beyond that the answer is broken. A message that has begun and ended behind ours condemns the connection as one that has only begun did; a test of its own, which held before, looks at that second guard behind the id.

--- a/flintreach/bothy/endpoint.py
+++ b/flintreach/bothy/endpoint.py
@@ -19,6 +19,7 @@
 IDLE = 4_000_000_000  # ns that a connection may lie idle when the endpoint tells nothing
 MUTE_MS = 1200  # without a sign from the machine's kernel for so long, a connection is dead
 REFUSED = (400, 408, 421, 429, 503)  # statuses with which X-Not-Delivered is believed
+SURPLUS, MOST = 8, 64 << 20  # whole messages that are not ours, and bytes, that are read for one answer
 LOOK_S = 0.003  # seconds for which a fresh connection is looked at: an endpoint that has too many resets it
 
 
@@ -168,7 +169,7 @@
         wire.drop()
         return Outcome(UNSENT)
     used.append(wire)
-    replies, kind, keep = Replies(head.startswith(b"HEAD ")), BROKEN, False
+    replies, size, keep = Replies(head.startswith(b"HEAD ")), 0, False
     try:
         with gevent.Timeout(max(0.0, (until - time.monotonic_ns()) / 1e9)):
             wire.sock.sendall(head + body)
@@ -184,10 +185,11 @@
                 found = next((message for message in replies.whole if message.answers(id)), None)
                 if found is not None:
                     kind = verdict(found)
-                    lone = len(replies.whole) == 1 and not replies.begun and not replies.parser_failed()
+                    lone = len(replies.whole) == 1 and not replies.surplus and not replies.parser_failed()
                     keep = found.keep and lone and replies.framed and kind != BROKEN and id != ""
                     return Outcome(kind, found)
-                if replies.parser_failed():
+                size += len(data)
+                if replies.parser_failed() or len(replies.whole) > SURPLUS or size > MOST:
                     break
             return Outcome(BROKEN)
     except gevent.Timeout:
--- a/flintreach/bothy/reply.py
+++ b/flintreach/bothy/reply.py
@@ -33,18 +33,19 @@
 
 
 class Replies(HTTPResponseParser):
-    """`whole`: messages that have ended, interim ones left out.  `begun`: another has begun behind them."""
+    """`whole`: messages that have ended, interim ones left out.  `begun`: another has begun behind them;
+    `surplus`: something that is a message came behind a whole one."""
 
     def __init__(self, bare: bool = False):
         super().__init__()
         self.bare = bare  # answers to HEAD have no body, whatever their length says
         self.whole: list[Message] = []
         self.now, self.begun, self.field, self.is_value, self.framed = Message(), False, None, False, False
-        self.in_body = False
+        self.surplus, self.in_body = False, False
 
     def _on_message_begin(self):
         self.now, self.begun, self.field, self.is_value, self.framed = Message(), True, None, False, False
-        self.in_body = False
+        self.surplus, self.in_body = self.surplus or bool(self.whole), False
 
     def _on_status(self, text):
         self.now.reason += text
--- a/flintreach/standins/adversary.py
+++ b/flintreach/standins/adversary.py
@@ -240,11 +240,14 @@
     "reset": reset,
     "close": run_and(b""),
     "cut": cut,
+    "never whole": lambda it, asked, line: (it.runs(asked).replace(b"Content-Length: ", b"Content-Length: 9")
+                                            if asked.method != "HEAD" else it.runs(asked), True),
     "surplus": surplus,
     "surplus later": surplus_later,
     "earlier": lambda it, asked, line: later(line, it.last, it.runs(asked)),
     "earlier, then ours": lambda it, asked, line: (it.last + it.runs(asked), True),
     "other id": answers(id="another"),
+    "many others": lambda it, asked, line: (12 * it.runs(asked, id="another"), True),
     "no id": answers(id=None),
     "two ids": lambda it, asked, line: (it.runs(asked).replace(
         b"X-Postmark", b"X-Try-Id: another\r\nX-Postmark"), True),
--- a/tests/test_system_answers.py
+++ b/tests/test_system_answers.py
@@ -433,6 +433,24 @@
         self.assertEqual((stage.judge(sent, got), got.status, stage.ran(sent)), ("", 200, 1))
         self.assertEqual(stage.huts[2].opened - before, 2)
 
+    def test_only_a_connection_that_brought_one_whole_answer_is_used_again(self):
+        """The id would tell what else comes on it, but a second guard stands before that."""
+        stage = self.stage
+        kept = {"answer": 1, "chunked": 1, "interim": 1, "fails": 1, "503": 1, "421": 1,
+                "surplus": 0, "garbage behind": 0, "other id": 0, "late": 0, "mute": 0, "cut": 0, "reset": 0,
+                "close": 0, "close told": 0, "no length": 0, "garbage": 0, "two ids": 0, "encoded": 0}
+        for act, count in kept.items():
+            for kind in ("book", "look"):
+                stage.renew([[act]] * 3, config=PATIENT if count else QUICK)
+                self.one(stage.request(kind))
+                huts = stage.world.huts.values()
+                with gevent.Timeout(5):
+                    while any(hut.mine for hut in huts):
+                        gevent.sleep(0.001)
+                held = {len(hut.wires.idle) for hut in huts if hut.sent_at}
+                self.assertEqual(held, {count}, (act, kind))
+                stage.settle()
+
     def test_an_idle_connection_is_looked_at_before_it_is_used(self):
         """Closed, reset, or with bytes on it: what must not run twice would be lost, with no promise."""
         stage, there = self.stage, self.stage.huts[2]
@@ -453,6 +471,15 @@
             stage.settle()
             self.assertEqual((got.status, stage.judge(sent, got), stage.ran(sent)), (200, "", 1), trouble)
 
+    def test_what_is_read_for_one_answer_is_bounded(self):
+        stage = self.stage
+        for act, most in (("many others", 1 << 20), ("never whole", 100)):
+            stage.renew([[act], [act]])
+            sent = stage.request("book")
+            with mock.patch("flintreach.bothy.endpoint.MOST", most):
+                self.assertEqual(self.one(sent).status, 502, act)  # not 504: it was not waited for
+            stage.settle()
+
 
 class Any(OnSockets):
     @CALM
