Links count messages and bytes by kind, and what went wrong

For operators: `Bundle.traffic()` gives rows. An answer is counted under its question's kind; kinds that nobody handles share one row, so that a peer can't grow the table. `Bundle.dial` opens a link of its own on the same meter.

--- a/flintreach/rope/bundle.py
+++ b/flintreach/rope/bundle.py
@@ -11,13 +11,14 @@
 from gevent.server import StreamServer
 
 from flintreach.rope.link import Closed, Link, dial
+from flintreach.rope.meter import Meter
 
 
 class Bundle:
     """What this process says to others (`ask`) and what it answers (`handlers`, by kind)."""
 
     def __init__(self, address: tuple[str, int]):
-        self.address, self.handlers = address, {}
+        self.address, self.handlers, self.meter = address, {}, Meter()
         self.heard: dict[tuple[str, int], float] = {}  # when a pilot last answered
         self.links: dict[tuple[str, int], Link] = {}
         self.locks: dict[tuple[str, int], RLock] = {}
@@ -27,7 +28,16 @@
         self.server.start()
 
     def serve(self, sock, address) -> None:
-        gevent.joinall(Link(sock, self.handlers).readers)  # the server closes the socket on return
+        # The server closes the socket on return.
+        gevent.joinall(Link(sock, self.handlers, meter=self.meter).readers)
+
+    def dial(self, address: tuple[str, int], handlers: dict[str, Callable], timeout: float) -> Link:
+        """A link of its own, with handlers of its own, on this process's meter.  Raises OSError."""
+        return dial(address, handlers, timeout, meter=self.meter)
+
+    def traffic(self) -> list[dict]:
+        """Messages and bytes by kind since the start, as rows."""
+        return self.meter.rows()
 
     def link(self, address: tuple[str, int], timeout: float) -> Link:
         """Raises OSError or Closed."""
@@ -37,7 +47,7 @@
         try:
             found = self.links.get(address)
             if found is None or found.closed:
-                found = self.links[address] = dial(address, self.handlers, timeout)
+                found = self.links[address] = self.dial(address, self.handlers, timeout)
             return found
         finally:
             lock.release()
--- a/flintreach/rope/link.py
+++ b/flintreach/rope/link.py
@@ -1,7 +1,10 @@
 """One connection between two pilots: messages both ways, questions with answers, and its end.
 
-A message is [number, kind, body]; an answer is [-number, "", body]; number 0 wants no answer.  A link that
-stays mute past its limit is closed: a peer behind a cut says nothing, and hangs would pile up.
+A message is [number, kind, body]; an answer is [-number, "", body];
+number 0 wants no answer.  Numbers are the correlation ids of one link and are never used again,
+so an answer that comes late meets nobody.  A question goes out once at the most: what is to be asked again is
+asked by its caller, who knows whether that may be.  A link that stays mute past its limit is closed: a peer
+behind a cut says nothing, and hangs would pile up.
 """
 
 import struct
@@ -13,6 +16,8 @@
 from gevent import socket
 from gevent.event import AsyncResult, Event
 
+from flintreach.rope.meter import Meter
+
 HEAD, MOST = struct.Struct(">I"), 16 << 20
 PACK, UNPACK = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder()
 
@@ -31,19 +36,26 @@
 class Link:
     """`handlers[kind](link, body)` runs in a greenlet of its own; what it returns is the answer."""
 
-    def __init__(self, sock, handlers: dict[str, Callable], mute_ms: int = 1500):
-        self.sock, self.handlers = braced(sock, mute_ms), handlers
-        self.waiting: dict[int, AsyncResult] = {}
+    def __init__(self, sock, handlers: dict[str, Callable], mute_ms: int = 1500, meter: Meter | None = None):
+        self.sock, self.handlers, self.meter = braced(sock, mute_ms), handlers, meter or Meter()
+        self.waiting: dict[int, tuple[str, AsyncResult]] = {}
         self.out, self.some, self.number = [], Event(), 0
         self.closed, self.on_close = False, []
         self.fresh_at = 0.0  # when the peer's news were surely fresh, where it tells news
         self.readers = [gevent.spawn(self.read), gevent.spawn(self.write)]
 
-    def send(self, kind: str, body: Any = None, number: int = 0) -> None:
-        if not self.closed:
-            message = PACK.encode([number, kind, body])
-            self.out.append(HEAD.pack(len(message)) + message)
-            self.some.set()
+    def send(self, kind: str, body: Any = None, number: int = 0) -> bool:
+        """False where it does not go out: the link has ended."""
+        return self.put(kind, kind, body, number)
+
+    def put(self, label: str, kind: str, body: Any, number: int) -> bool:
+        if self.closed:
+            return False
+        message = PACK.encode([number, kind, body])
+        self.out.append(HEAD.pack(len(message)) + message)
+        self.some.set()
+        self.meter.went(label, len(message))
+        return True
 
     def ask(self, kind: str, body: Any = None, timeout: float = 1.0) -> Any:
         """The peer's answer.  Raises Closed when the link ends or `timeout` seconds are over."""
@@ -51,9 +63,10 @@
             raise Closed
         self.number += 1
         number, result = self.number, AsyncResult()
-        self.waiting[number] = result
-        self.send(kind, body, number)
+        self.waiting[number] = kind, result
         try:
+            if not self.send(kind, body, number):
+                raise Closed
             return result.get(timeout=timeout)
         except gevent.Timeout:
             raise Closed from None
@@ -85,23 +98,35 @@
             while not self.closed:
                 size, = HEAD.unpack(self.exactly(4))
                 if size > MOST:
-                    raise OSError
+                    raise ValueError
                 number, kind, body = UNPACK.decode(self.exactly(size))
-                if number < 0:
-                    if result := self.waiting.get(-number):
-                        result.set(body)
-                elif handler := self.handlers.get(kind):
-                    if number:
-                        gevent.spawn(self.answer, handler, number, body)
-                    else:
-                        handler(self, body)
-        except (OSError, msgspec.DecodeError, ValueError, TypeError):
+                if type(number) is not int or type(kind) is not str:
+                    raise ValueError
+                self.take(number, kind, body, size)
+        except OSError:
             pass
+        except (msgspec.DecodeError, ValueError, TypeError, RecursionError):
+            self.meter.fault("no message")
         finally:
             self.close()
 
-    def answer(self, handler, number, body) -> None:
-        self.send("", handler(self, body), -number)
+    def take(self, number: int, kind: str, body: Any, size: int) -> None:
+        if number < 0:
+            asked, result = self.waiting.get(-number, ("late", None))
+            self.meter.came(f"{asked} reply", size)
+            if result is not None:
+                result.set(body)
+            return
+        handler = self.handlers.get(kind)
+        self.meter.came(kind if handler else "unknown", size)  # a peer's words must not grow the table
+        if not number:
+            if handler:
+                handler(self, body)
+        elif handler:
+            gevent.spawn(self.answer, handler, kind, number, body)
+
+    def answer(self, handler, kind: str, number: int, body: Any) -> None:
+        self.put(f"{kind} reply", "", handler(self, body), -number)
 
     def close(self) -> None:
         if self.closed:
@@ -109,15 +134,15 @@
         self.closed = True
         self.some.set()
         self.sock.close()
-        for result in [*self.waiting.values()]:
+        for _, result in [*self.waiting.values()]:
             result.set_exception(Closed())
         for told in self.on_close:
             told(self)
 
 
 def dial(address: tuple[str, int], handlers: dict[str, Callable], timeout: float = 1.0,
-         mute_ms: int = 1500) -> Link:
+         mute_ms: int = 1500, meter: Meter | None = None) -> Link:
     """A link to another pilot.  Raises OSError."""
     sock = socket.create_connection(address, timeout=timeout)
     sock.settimeout(None)
-    return Link(sock, handlers, mute_ms)
+    return Link(sock, handlers, mute_ms, meter)
--- a/flintreach/standins/adversary.py
+++ b/flintreach/standins/adversary.py
@@ -10,7 +10,9 @@
 from dataclasses import dataclass, field
 
 import gevent
+import msgspec
 from gevent import socket
+from gevent.event import Event
 from gevent.server import StreamServer
 
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close that resets
@@ -261,3 +263,75 @@
     "switching": run_and(b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"),
     "odd status": answers("999 Odd", stamp=False),
 }
+
+
+class Pilot:
+    """A pilot in trouble, a peer for links.  `script`: acts for the messages that come, then "answer"."""
+
+    def __init__(self, script=(), address: tuple[str, int] = ("127.0.0.1", 0)):
+        self.script, self.asked, self.socks, self.gone = deque(script), [], [], Event()
+        self.held: list[bytes] = []  # answers that were held back
+        self.server = StreamServer(address, self.serve)
+        self.server.start()
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return self.server.address[:2]
+
+    def stop(self) -> None:
+        self.gone.set()
+        for sock in self.socks:
+            sock.close()
+        self.server.stop(timeout=0)
+
+    def serve(self, sock, address) -> None:
+        self.socks.append(sock)
+        stream = sock.makefile("rb")
+        try:
+            while len(head := stream.read(4)) == 4:
+                number, kind, body = msgspec.msgpack.decode(stream.read(int.from_bytes(head)))
+                self.asked.append((number, kind, body))
+                if not self.act(sock, number, body):
+                    break
+        except (OSError, ValueError, TypeError, msgspec.DecodeError):
+            pass
+
+    def act(self, sock, number: int, body) -> bool:
+        mine, held, self.held = packed(-number, "", body), self.held, []
+        match self.script.popleft() if self.script else "answer":
+            case "answer":
+                sock.sendall(mine + b"".join(held))
+            case "twice":
+                sock.sendall(mine + packed(-number, "", "surplus"))
+            case "late":  # with the next message, behind its answer
+                self.held = [*held, mine]
+            case "unknown":
+                sock.sendall(packed(-number - 7, "", "nobody's") + packed(0, "", "") + mine)
+            case "other kinds":
+                sock.sendall(packed(-number, "error", None))
+            case "huge":
+                sock.sendall(b"\xff\xff\xff\xff" + mine)
+            case "garbage":
+                sock.sendall(b"\x00\x00\x00\x03\xc1\xc1\xc1" + mine)
+            case "odd shape":
+                sock.sendall(packed("x", [], {}) + mine)
+            case "half":
+                sock.shutdown(socket.SHUT_WR)
+            case "answer and close":
+                sock.sendall(mine)
+                sock.shutdown(socket.SHUT_RDWR)
+                return False
+            case "reset":
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                sock.close()
+                return False
+            case "stops reading":
+                self.gone.wait()
+                return False
+        return True
+
+
+def packed(*parts) -> bytes:
+    """One message as links send them."""
+    data = msgspec.msgpack.encode(parts)
+    return len(data).to_bytes(4) + data
--- a/tests/test_system_answers.py
+++ b/tests/test_system_answers.py
@@ -18,7 +18,9 @@
 from flintreach.bothy.choice import Here
 from flintreach.bothy.front import Front
 from flintreach.bothy.world import World
-from flintreach.standins.adversary import ACTS, RESET, Adversary, Asked, text
+from flintreach.rope.bundle import Bundle
+from flintreach.rope.link import Closed, dial
+from flintreach.standins.adversary import ACTS, RESET, Adversary, Asked, Pilot, text
 from flintreach.trail.board import Board
 from flintreach.trail.tally import Tally
 from flintreach.waymark.settings import Bounds
@@ -492,5 +494,57 @@
         self.check(found[:leave], self.stage.counts)
 
 
+class Questions(unittest.TestCase):
+    """Links between pilots against a pilot in trouble."""
+
+    def setUp(self):
+        self.pilots, self.bundles = [], []
+
+    def tearDown(self):
+        for bundle in self.bundles:
+            for link in bundle.links.values():
+                link.close()
+            bundle.server.stop(timeout=0)
+        for pilot in self.pilots:
+            pilot.stop()
+
+    def pilot(self, *script) -> Pilot:
+        self.pilots.append(Pilot(script))
+        return self.pilots[-1]
+
+    def bundle(self, **handlers) -> Bundle:
+        self.bundles.append(Bundle(("127.0.0.1", 0)))
+        self.bundles[-1].handlers |= handlers
+        self.bundles[-1].start()
+        return self.bundles[-1]
+
+    def ask(self, link, body, timeout=5.0, kind="k"):
+        """The answer, or Closed."""
+        try:
+            return link.ask(kind, body, timeout)
+        except Closed:
+            return Closed
+
+    def test_an_answer_after_its_time_meets_no_later_question(self):
+        link = dial(self.pilot("late", "answer").address, {})
+        self.assertEqual([self.ask(link, "first", 0.02), self.ask(link, "second")], [Closed, "second"])
+        self.assertEqual(self.ask(link, "third"), "third")
+        self.assertEqual(link.meter.kinds["late reply"][2], 1)
+        link.close()
+
+    def test_messages_and_bytes_are_counted_by_kind(self):
+        peer, mine = self.bundle(echo=lambda link, body: body), self.bundle()
+        for _ in range(3):
+            mine.ask(peer.server.address, "echo", b"x" * 1000)
+        mine.links[peer.server.address].send("stray", 1)
+        mine.ask(peer.server.address, "echo")
+        ours, theirs = ({row["kind"]: row for row in bundle.traffic()} for bundle in (mine, peer))
+        self.assertEqual([(ours["echo"]["out"], theirs["echo"]["in"], theirs["unknown"]["in"],
+                           theirs["echo reply"]["out"], ours["echo reply"]["in"])], [(4, 4, 1, 4, 4)])
+        for kind, way, back in (("echo", "out", "in"), ("echo reply", "in", "out")):
+            self.assertGreater(ours[kind][f"{way}_bytes"], 3000)
+            self.assertEqual(ours[kind][f"{way}_bytes"], theirs[kind][f"{back}_bytes"])
+
+
 if __name__ == "__main__":
     unittest.main()
