A handler that raised left its asker waiting; one for news ended the link in silence

Cause: no answer was sent where the handler raised, its answer could not be encoded, or nobody handles the kind: askers waited their time out. News whose handler raised ended the link, with no count and for some errors no word.

A news handler's fault still ends the link, as the gap it leaves is closed by a new link alone, but is counted and told.

--- a/flintreach/rope/link.py
+++ b/flintreach/rope/link.py
@@ -1,13 +1,14 @@
 """One connection between two pilots: messages both ways, questions with answers, and its end.
 
-A message is [number, kind, body]; an answer is [-number, "", body];
-number 0 wants no answer.  Numbers are the correlation ids of one link and are never used again,
+A message is [number, kind, body]; an answer is [-number, "", body], or [-number, "error", None] where there
+will be none; number 0 wants no answer.  Numbers are the correlation ids of one link and are never used again,
 so an answer that comes late meets nobody.  A question goes out once at the most: what is to be asked again is
 asked by its caller, who knows whether that may be.  A link that stays mute past its limit is closed: a peer
 behind a cut says nothing, and hangs would pile up.
 """
 
 import struct
+import sys
 from collections.abc import Callable
 from typing import Any
 
@@ -30,7 +31,7 @@
 
 
 class Closed(Exception):
-    """The link ended before an answer came; whether the question was acted on is not known."""
+    """No answer: the link ended, time is up, or the peer could not. Whether it was acted on is not known."""
 
 
 class Link:
@@ -58,7 +59,8 @@
         return True
 
     def ask(self, kind: str, body: Any = None, timeout: float = 1.0) -> Any:
-        """The peer's answer.  Raises Closed when the link ends or `timeout` seconds are over."""
+        """The peer's answer.  Raises Closed when the link ends, the peer has none, or `timeout` seconds are
+        over."""
         if self.closed:
             raise Closed
         self.number += 1
@@ -114,19 +116,41 @@
         if number < 0:
             asked, result = self.waiting.get(-number, ("late", None))
             self.meter.came(f"{asked} reply", size)
-            if result is not None:
+            if result is not None and kind == "error":
+                result.set_exception(Closed())
+            elif result is not None:
                 result.set(body)
             return
         handler = self.handlers.get(kind)
         self.meter.came(kind if handler else "unknown", size)  # a peer's words must not grow the table
         if not number:
-            if handler:
-                handler(self, body)
-        elif handler:
+            # News that were not taken leave a gap: only a new link, which begins with all, closes it.
+            if handler and not self.handle(handler, kind, body)[0]:
+                self.close()
+        elif handler is None:
+            self.meter.fault("unknown question")
+            self.put("error", "error", None, -number)
+        else:
             gevent.spawn(self.answer, handler, kind, number, body)
 
+    def handle(self, handler, kind: str, body: Any) -> tuple[bool, Any]:
+        """Whether the handler came to its end, and what it returned; a fault of its own is counted."""
+        try:
+            return True, handler(self, body)
+        except (Exception, gevent.Timeout):
+            self.meter.fault(f"{kind} failed")
+            gevent.get_hub().handle_error(self, *sys.exc_info())
+            return False, None
+
     def answer(self, handler, kind: str, number: int, body: Any) -> None:
-        self.put(f"{kind} reply", "", handler(self, body), -number)
+        try:
+            good, found = self.handle(handler, kind, body)
+            good = good and self.put(f"{kind} reply", "", found, -number)
+        except (TypeError, ValueError, OverflowError):  # what msgpack can't tell
+            self.meter.fault(f"{kind} failed")
+            good = False
+        if not good:
+            self.put("error", "error", None, -number)
 
     def close(self) -> None:
         if self.closed:
--- a/tests/test_system_answers.py
+++ b/tests/test_system_answers.py
@@ -532,6 +532,31 @@
         self.assertEqual(link.meter.kinds["late reply"][2], 1)
         link.close()
 
+    def test_a_question_that_can_not_be_answered_is_told_so_at_once(self):
+        """A handler that raised, an answer that can't be told, a kind that nobody knows."""
+        def raises(link, body):
+            raise KeyError(body)
+        peer, mine = self.bundle(raises=raises, odd=lambda link, body: object(),
+                                 good=lambda link, body: 1), self.bundle()
+        with (gevent.Timeout(2),
+              mock.patch.object(gevent.get_hub(), "handle_error")):
+            for kind in ("raises", "odd", "no such kind"):
+                self.assertIsNone(mine.ask(peer.server.address, kind, None, 30.0), kind)
+                self.assertEqual(mine.ask(peer.server.address, "good"), 1)
+        self.assertEqual(len(mine.links), 1)
+        self.assertEqual(peer.meter.faults, {"raises failed": 1, "odd failed": 1, "unknown question": 1})
+
+    def test_news_that_are_not_taken_end_the_link_aloud(self):
+        """Passed over they would leave a gap that nothing closes: a new link begins with all that stands."""
+        def raises(link, rows):
+            raise KeyError(rows)
+        peer = self.bundle(news=raises)
+        link = dial(peer.server.address, {})
+        with mock.patch.object(gevent.get_hub(), "handle_error") as told, gevent.Timeout(2):
+            link.send("news", [])
+            gevent.joinall(link.readers)
+        self.assertEqual((peer.meter.faults, told.call_count), ({"news failed": 1}, 1))
+
     def test_messages_and_bytes_are_counted_by_kind(self):
         peer, mine = self.bundle(echo=lambda link, body: body), self.bundle()
         for _ in range(3):
