A surplus answer or a close overwrote an answer; time limits ran twice or were swallowed

Cause: a question stayed in the list until its asker ran again: a second answer, or the link's end right behind the first, replaced it. `ask` took any gevent.Timeout for its own, so a caller's limit was swallowed. The limit counted anew for the lock, for dialling and for the answer.

Change: an answer takes its question out; the wait is told apart from others' timeouts; one limit holds for all.

--- a/flintreach/rope/bundle.py
+++ b/flintreach/rope/bundle.py
@@ -40,25 +40,32 @@
         return self.meter.rows()
 
     def link(self, address: tuple[str, int], timeout: float) -> Link:
-        """Raises OSError or Closed."""
-        lock = self.locks.setdefault(address, RLock())
+        """The link to a pilot, up within `timeout` seconds.  Raises OSError or Closed."""
+        until, lock = time.monotonic() + timeout, self.locks.setdefault(address, RLock())
         if not lock.acquire(timeout=timeout):
             raise Closed
         try:
             found = self.links.get(address)
             if found is None or found.closed:
-                found = self.links[address] = self.dial(address, self.handlers, timeout)
+                left = max(0.001, until - time.monotonic())
+                found = self.links[address] = self.dial(address, self.handlers, left)
             return found
         finally:
             lock.release()
 
     def ask(self, address: tuple[str, int], kind: str, body: Any = None, timeout: float = 1.0) -> Any:
-        """The answer of the pilot at an address, or None if none came within `timeout` seconds."""
+        """The answer of the pilot at an address, or None if none came within `timeout` seconds.  It is asked
+        once at the most; without an answer it may have acted all the same."""
+        until = time.monotonic() + timeout
         try:
-            answer = self.link(address, timeout).ask(kind, body, timeout)
+            link = self.link(address, timeout)
+            left = until - time.monotonic()
+            if left <= 0:
+                return None
+            answer = link.ask(kind, body, left)
             self.heard[address] = time.monotonic()
             return answer
-        except (OSError, Closed, gevent.Timeout):
+        except (OSError, Closed):
             return None
 
     def gather(self, addresses: list[tuple[str, int]], kind: str, body: Any, enough: Callable[[list], bool],
--- a/flintreach/rope/link.py
+++ b/flintreach/rope/link.py
@@ -69,9 +69,10 @@
         try:
             if not self.send(kind, body, number):
                 raise Closed
-            return result.get(timeout=timeout)
-        except gevent.Timeout:
-            raise Closed from None
+            result.wait(timeout)  # a timeout of the caller's own passes through
+            if not result.ready():
+                raise Closed
+            return result.get()
         finally:
             self.waiting.pop(number, None)
 
@@ -114,7 +115,8 @@
 
     def take(self, number: int, kind: str, body: Any, size: int) -> None:
         if number < 0:
-            asked, result = self.waiting.get(-number, ("late", None))
+            # Taken out at once: a surplus answer finds nobody, and an end of the link takes nothing back.
+            asked, result = self.waiting.pop(-number, ("late", None))
             self.meter.came(f"{asked} reply", size)
             if result is not None and kind == "error":
                 result.set_exception(Closed())
@@ -158,8 +160,8 @@
         self.closed = True
         self.some.set()
         self.sock.close()
-        for _, result in [*self.waiting.values()]:
-            result.set_exception(Closed())
+        while self.waiting:
+            self.waiting.popitem()[1][1].set_exception(Closed())
         for told in self.on_close:
             told(self)
 
--- a/tests/test_system_answers.py
+++ b/tests/test_system_answers.py
@@ -5,6 +5,7 @@
 import time
 import unittest
 from collections import namedtuple
+from types import SimpleNamespace
 from unittest import mock
 
 import gevent
@@ -20,7 +21,7 @@
 from flintreach.bothy.world import World
 from flintreach.rope.bundle import Bundle
 from flintreach.rope.link import Closed, dial
-from flintreach.standins.adversary import ACTS, RESET, Adversary, Asked, Pilot, text
+from flintreach.standins.adversary import ACTS, RESET, Adversary, Asked, Pilot, packed, text
 from flintreach.trail.board import Board
 from flintreach.trail.tally import Tally
 from flintreach.waymark.settings import Bounds
@@ -525,6 +526,53 @@
         except Closed:
             return Closed
 
+    PEERS = st.sampled_from(["answer", "twice", "late", "unknown", "other kinds", "huge", "garbage",
+                             "odd shape", "half", "answer and close", "reset"])
+
+    @settings(CALM, max_examples=60)
+    @given(st.lists(PEERS, max_size=6), st.integers(1, 4))
+    def test_an_answer_is_the_one_to_its_question_or_there_is_none(self, script, ahead):
+        pilot = Pilot(script)
+        link = dial(pilot.address, {})
+        try:
+            with gevent.Timeout(10):
+                found = []
+                for at in range(0, 8, ahead):
+                    # Only what is never answered waits its time out; `late` comes behind the next answer.
+                    slow = 0.02 if "late" in script else 5.0
+                    jobs = [gevent.spawn(self.ask, link, n, slow) for n in range(at, at + ahead)]
+                    found += [(n, job.get()) for n, job in enumerate(jobs, at)]
+                for number, got in found:
+                    self.assertIn(got, (number, Closed))
+                self.assertEqual(link.waiting, {})
+                numbers = [number for number, _, _ in pilot.asked]
+                self.assertEqual(len(numbers), len({*numbers}))  # each went out once
+        finally:
+            link.close()
+            pilot.stop()
+
+    @settings(CALM, max_examples=40)
+    @given(st.binary(max_size=60), st.integers(0, 80))
+    def test_any_bytes_end_their_link_and_nothing_else(self, data, told):
+        """Whole messages that say anything, with a length that is right, and bytes without one."""
+        peer = self.bundles[0] if self.bundles else self.bundle(good=lambda link, body: 1)
+        with mock.patch.object(gevent.get_hub(), "handle_error") as fell, gevent.Timeout(5):
+            for said in (len(data).to_bytes(4) + data, told.to_bytes(4) + data, data,
+                         packed(told - 40, "good", data), packed(data, told, None), packed(1, "good", told)):
+                sock = socket.create_connection(peer.server.address)
+                sock.sendall(said)
+                sock.shutdown(socket.SHUT_WR)
+                try:
+                    while sock.recv(65536):
+                        pass
+                except ConnectionResetError:  # ended over bytes that were not read
+                    pass
+                sock.close()
+            link = dial(peer.server.address, {})
+            self.assertEqual(self.ask(link, None, kind="good"), 1)
+            link.close()
+        self.assertEqual(fell.call_count, 0)
+
     def test_an_answer_after_its_time_meets_no_later_question(self):
         link = dial(self.pilot("late", "answer").address, {})
         self.assertEqual([self.ask(link, "first", 0.02), self.ask(link, "second")], [Closed, "second"])
@@ -532,6 +580,12 @@
         self.assertEqual(link.meter.kinds["late reply"][2], 1)
         link.close()
 
+    def test_an_answer_stands_whatever_comes_behind_it(self):
+        for act in ("twice", "answer and close"):
+            link = dial(self.pilot(act).address, {})
+            self.assertEqual(self.ask(link, "mine"), "mine", act)
+            link.close()
+
     def test_a_question_that_can_not_be_answered_is_told_so_at_once(self):
         """A handler that raised, an answer that can't be told, a kind that nobody knows."""
         def raises(link, body):
@@ -557,6 +611,24 @@
             gevent.joinall(link.readers)
         self.assertEqual((peer.meter.faults, told.call_count), ({"news failed": 1}, 1))
 
+    def test_a_time_limit_of_the_caller_passes_through(self):
+        mine, at = self.bundle(), self.pilot("stops reading").address
+        with self.assertRaises(gevent.Timeout):
+            with gevent.Timeout(0.02):
+                mine.ask(at, "k", None, 30.0)
+        self.assertEqual(mine.links[at].waiting, {})
+
+    def test_one_time_limit_holds_for_the_link_and_the_answer(self):
+        mine, now = self.bundle(), [100.0]
+
+        def link(address, timeout):
+            now[0] += 0.7
+            return SimpleNamespace(ask=lambda kind, body, timeout: timeout)
+        with (mock.patch.object(mine, "link", link),
+              mock.patch("flintreach.rope.bundle.time.monotonic", lambda: now[0])):
+            self.assertAlmostEqual(mine.ask(("10.0.0.1", 7), "k", None, 1.0), 0.3)
+            self.assertIsNone(mine.ask(("10.0.0.1", 7), "k", None, 0.5))
+
     def test_messages_and_bytes_are_counted_by_kind(self):
         peer, mine = self.bundle(echo=lambda link, body: body), self.bundle()
         for _ in range(3):
