A message too long ended the link at the other side; nothing bounded what waits

Cause: the sender did not look at the length that the receiver refuses; what a peer did not read piled up until the kernel gave the connection up; questions in hand had no number.

Change: a message above 16 MiB is not sent, which `send` tells and `ask` raises; 32 MiB waiting ends the link; 4096 questions of ours and 1024 of the peer's are in hand at most, more get an answer that there is none.

--- a/flintreach/rope/link.py
+++ b/flintreach/rope/link.py
@@ -20,6 +20,8 @@
 from flintreach.rope.meter import Meter
 
 HEAD, MOST = struct.Struct(">I"), 16 << 20
+QUEUED = 2 * MOST  # bytes that may wait for a peer that does not read; beyond that the link ends
+WAITING, HANDLED = 4096, 1024  # questions of ours without an answer yet; the peer's that are worked on
 PACK, UNPACK = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder()
 
 
@@ -41,18 +43,27 @@
         self.sock, self.handlers, self.meter = braced(sock, mute_ms), handlers, meter or Meter()
         self.waiting: dict[int, tuple[str, AsyncResult]] = {}
         self.out, self.some, self.number = [], Event(), 0
+        self.queued, self.handled = 0, 0  # bytes not yet taken by the kernel; questions worked on
         self.closed, self.on_close = False, []
         self.fresh_at = 0.0  # when the peer's news were surely fresh, where it tells news
         self.readers = [gevent.spawn(self.read), gevent.spawn(self.write)]
 
     def send(self, kind: str, body: Any = None, number: int = 0) -> bool:
-        """False where it does not go out: the link has ended."""
+        """False where it does not go out: the link has ended, or the message is too long for the peer."""
         return self.put(kind, kind, body, number)
 
     def put(self, label: str, kind: str, body: Any, number: int) -> bool:
         if self.closed:
             return False
         message = PACK.encode([number, kind, body])
+        if len(message) > MOST:  # the peer would end the link over it
+            self.meter.fault("too long")
+            return False
+        if self.queued + len(message) > QUEUED:
+            self.meter.fault("peer does not read")
+            self.close()
+            return False
+        self.queued += len(message)
         self.out.append(HEAD.pack(len(message)) + message)
         self.some.set()
         self.meter.went(label, len(message))
@@ -61,7 +72,7 @@
     def ask(self, kind: str, body: Any = None, timeout: float = 1.0) -> Any:
         """The peer's answer.  Raises Closed when the link ends, the peer has none, or `timeout` seconds are
         over."""
-        if self.closed:
+        if self.closed or len(self.waiting) >= WAITING:
             raise Closed
         self.number += 1
         number, result = self.number, AsyncResult()
@@ -81,9 +92,10 @@
             while not self.closed:
                 self.some.wait()
                 self.some.clear()
-                out, self.out = b"".join(self.out), []
+                size, out, self.out = self.queued, b"".join(self.out), []
                 if out:
                     self.sock.sendall(out)
+                    self.queued -= size
         except OSError:
             self.close()
 
@@ -129,10 +141,11 @@
             # News that were not taken leave a gap: only a new link, which begins with all, closes it.
             if handler and not self.handle(handler, kind, body)[0]:
                 self.close()
-        elif handler is None:
-            self.meter.fault("unknown question")
+        elif handler is None or self.handled >= HANDLED:
+            self.meter.fault("too many questions" if handler else "unknown question")
             self.put("error", "error", None, -number)
         else:
+            self.handled += 1
             gevent.spawn(self.answer, handler, kind, number, body)
 
     def handle(self, handler, kind: str, body: Any) -> tuple[bool, Any]:
@@ -151,13 +164,15 @@
         except (TypeError, ValueError, OverflowError):  # what msgpack can't tell
             self.meter.fault(f"{kind} failed")
             good = False
+        finally:
+            self.handled -= 1
         if not good:
             self.put("error", "error", None, -number)
 
     def close(self) -> None:
         if self.closed:
             return
-        self.closed = True
+        self.closed, self.out = True, []
         self.some.set()
         self.sock.close()
         while self.waiting:
--- a/tests/test_system_answers.py
+++ b/tests/test_system_answers.py
@@ -587,18 +587,32 @@
             link.close()
 
     def test_a_question_that_can_not_be_answered_is_told_so_at_once(self):
-        """A handler that raised, an answer that can't be told, a kind that nobody knows."""
+        """A handler that raised, an answer that is too long or can't be told, a kind that nobody knows."""
         def raises(link, body):
             raise KeyError(body)
-        peer, mine = self.bundle(raises=raises, odd=lambda link, body: object(),
-                                 good=lambda link, body: 1), self.bundle()
-        with (gevent.Timeout(2),
+        peer, mine = self.bundle(raises=raises, odd=lambda link, body: object(), good=lambda link, body: 1,
+                                 long=lambda link, body: b"x" * 5000), self.bundle()
+        with (mock.patch("flintreach.rope.link.MOST", 4000), gevent.Timeout(2),
               mock.patch.object(gevent.get_hub(), "handle_error")):
-            for kind in ("raises", "odd", "no such kind"):
+            for kind in ("raises", "long", "odd", "no such kind"):
                 self.assertIsNone(mine.ask(peer.server.address, kind, None, 30.0), kind)
                 self.assertEqual(mine.ask(peer.server.address, "good"), 1)
         self.assertEqual(len(mine.links), 1)
-        self.assertEqual(peer.meter.faults, {"raises failed": 1, "odd failed": 1, "unknown question": 1})
+        self.assertEqual(peer.meter.faults, {"raises failed": 1, "too long": 1, "odd failed": 1,
+                                             "unknown question": 1})
+
+    def test_a_message_that_is_too_long_fails_where_it_is_sent(self):
+        peer, mine = self.bundle(good=lambda link, body: 1), self.bundle()
+        at = peer.server.address
+        with mock.patch("flintreach.rope.link.MOST", 4000), gevent.Timeout(2):
+            self.assertEqual(mine.ask(at, "good"), 1)
+            link = mine.links[at]
+            self.assertIsNone(mine.ask(at, "good", b"x" * 4000, 30.0))
+            self.assertFalse(link.send("good", b"x" * 4000))
+            self.assertTrue(link.send("good", b"x" * 3000))
+            self.assertEqual(mine.ask(at, "good"), 1)
+        self.assertIs(mine.links[at], link)
+        self.assertEqual(mine.meter.faults, {"too long": 2})
 
     def test_news_that_are_not_taken_end_the_link_aloud(self):
         """Passed over they would leave a gap that nothing closes: a new link begins with all that stands."""
@@ -611,6 +625,39 @@
             gevent.joinall(link.readers)
         self.assertEqual((peer.meter.faults, told.call_count), ({"news failed": 1}, 1))
 
+    def test_a_peer_that_does_not_read_can_not_hold_memory_without_end(self):
+        link, sent = dial(self.pilot("stops reading").address, {}), 0
+        with mock.patch("flintreach.rope.link.QUEUED", 1 << 20), gevent.Timeout(5):
+            job = gevent.spawn(self.ask, link, "held", 30.0)
+            gevent.sleep(0)
+            while link.send("news", b"x" * 65536):
+                sent += 1
+                gevent.sleep(0)
+            self.assertIs(job.get(), Closed)
+        self.assertTrue(link.closed and not link.out and not link.waiting)
+        self.assertEqual(link.meter.faults, {"peer does not read": 1})
+
+    def test_a_peer_that_asks_without_end_is_told_no(self):
+        gate = Event()
+        peer = self.bundle(hold=lambda link, body: gate.wait())
+        link = dial(peer.server.address, {})
+        with mock.patch("flintreach.rope.link.HANDLED", 5), gevent.Timeout(5):
+            jobs = [gevent.spawn(self.ask, link, n, 30.0, "hold") for n in range(9)]
+            gevent.joinall(jobs, count=4)
+            self.assertEqual([job.value for job in jobs], [None] * 5 + [Closed] * 4)
+            gate.set()
+            self.assertEqual([job.get() for job in jobs], [True] * 5 + [Closed] * 4)
+        link.close()
+
+    def test_questions_without_an_answer_are_bounded(self):
+        link = dial(self.pilot("stops reading").address, {})
+        with mock.patch("flintreach.rope.link.WAITING", 3), gevent.Timeout(5):
+            jobs = [gevent.spawn(self.ask, link, n, 30.0) for n in range(5)]
+            gevent.joinall(jobs, count=2)
+            self.assertEqual([job.value for job in jobs], [None] * 3 + [Closed] * 2)
+            link.close()
+            self.assertEqual([job.get() for job in jobs], [Closed] * 5)
+
     def test_a_time_limit_of_the_caller_passes_through(self):
         mine, at = self.bundle(), self.pilot("stops reading").address
         with self.assertRaises(gevent.Timeout):
