--- a/flintreach/bothy/carry.py
+++ b/flintreach/bothy/carry.py
@@ -21,6 +21,7 @@
 )
 from flintreach.bothy.endpoint import ANSWERED, BROKEN, IDLE, NOT_RUN, UNSENT, Outcome, exchange
 from flintreach.bothy.gate import WAIT, Gate
+from flintreach.bothy.reply import number
 from flintreach.bothy.world import World, slice_of
 from flintreach.bunks.plan import BUCKET, KEYS
 from flintreach.trail.tally import Tally
@@ -30,6 +31,8 @@
 HOP = {"connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
        "trailer", "transfer-encoding", "upgrade", "content-length", "expect", "x-expect-endpoint",
        "x-time-left-ms"}
+# What a `Connection` header may not take away: by these it is told whose a request or an answer is.
+END_TO_END = {"host", "x-try-id", "x-postmark", "x-shard-key"}
 PAUSE = "0.1"  # seconds after which one that was turned away may come again
 REASONS = {400: "Bad Request", 404: "Not Found", 408: "Request Timeout", 413: "Content Too Large",
            431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
@@ -46,6 +49,7 @@
     body: bytes = b""
     came: int = 0
     low: dict[str, str] = field(default_factory=dict)  # by lower name
+    wires: list = field(default_factory=list)  # connections that it went out on
 
 
 @dataclass(slots=True)
@@ -57,6 +61,11 @@
     close: bool = False
 
 
+def hops(connection: str) -> set[str]:
+    """Headers that concern one connection only, with those that its `Connection` header names."""
+    return HOP | {name.strip().lower() for name in connection.split(",")} - END_TO_END
+
+
 def own(status: int, again: str | None = None, why: str = "") -> Answer:
     """An answer of the system's own."""
     headers = [("Retry-After", again)] if again else []
@@ -80,7 +89,7 @@
         return self.budgets[line]
 
     def head(self, request: Request, hut, left: int) -> bytes:
-        dropped = HOP | {name.strip().lower() for name in request.low.get("connection", "").split(",")}
+        dropped = hops(request.low.get("connection", ""))
         lines = [f"{request.method} {request.target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in request.headers if name.lower() not in dropped]
         lines += [f"X-Time-Left-Ms: {max(1, left // MS)}", f"X-Expect-Endpoint: {hut.id}"]
@@ -116,13 +125,13 @@
             self.count("no_route")
             return own(404)
         line, now = self.line(route), time.monotonic_ns()
-        wait = request.low.get("x-time-left-ms", "")
-        until = request.came + min(route.deadline, int(wait) * MS if wait.isdigit() else route.deadline)
+        wait = number(request.low.get("x-time-left-ms", ""))
+        until = request.came + min(route.deadline, route.deadline if wait is None else wait * MS)
         self.tally.request(slice_of(route, line))
         budget = self.budget(line)
         budget.request(now)
-        told = request.low.get("x-shard-key", "")
-        key = int(told) if told.isascii() and told.isdigit() and int(told) < KEYS else None
+        key = number(request.low.get("x-shard-key", ""))
+        key = key if key is not None and key < KEYS else None
         if key is not None and self.world.sharded(line):
             self.tally.key(line, key // BUCKET)
         size = self.gate.size(route.name, route.kind == "outbound_post")
@@ -200,7 +209,7 @@
             if depot:
                 idle = idle_for(hut, self.world.here, depot.berth_cap, IDLE, depot.sharded)
             outcome = exchange(hut.wires, head, request.body, id, until, CONNECT_S, idle,
-                               lambda: self.world.takes(hut))
+                               lambda: self.world.takes(hut), request.wires)
             return outcome
         finally:
             after = time.monotonic_ns()
@@ -240,10 +249,10 @@
     def judge(self, hut, line, outcome, now, took) -> None:
         message = outcome.message
         if message is not None:
-            load = (message.get("x-endpoint-load") or "").split(",")
-            if len(load) == 3 and all(part.strip().isdigit() for part in load):
-                hut.hears(int(load[0]), int(load[1]), now)
-                self.tally.told(hut.id, (int(load[0]) + int(load[1])) / hut.berths)
+            load = [number(part.strip()) for part in (message.get("x-endpoint-load") or "").split(",")]
+            if len(load) == 3 and None not in load:
+                hut.hears(load[0], load[1], now)
+                self.tally.told(hut.id, (load[0] + load[1]) / hut.berths)
         if outcome.kind == ANSWERED:
             hut.well()
             if self.world.sharded(line):
@@ -263,11 +272,11 @@
                 hut.wires.close()
 
     def passed(self, message, request) -> Answer:
-        named = (message.get("connection") or "").split(",")
-        dropped = HOP - {"content-length"} | {name.strip().lower() for name in named}
+        dropped = hops(message.get("connection") or "")
+        if message.status == 304 or request.method == "HEAD" and message.status != 204:
+            dropped -= {"content-length"}  # of the body that a GET would have had
         headers = [(name, value) for name, value in message.headers if name.lower() not in dropped]
         if request.method != "HEAD" and message.status not in (204, 304):
-            headers = [(name, value) for name, value in headers if name.lower() != "content-length"]
             headers.append(("Content-Length", str(len(message.body))))
         return Answer(message.status, message.reason, headers, bytes(message.body))
 
--- a/flintreach/bothy/endpoint.py
+++ b/flintreach/bothy/endpoint.py
@@ -11,13 +11,15 @@
 import gevent
 from gevent import socket
 
-from flintreach.bothy.reply import HTTPParseError, Replies
+from flintreach.bothy.reply import HTTPParseError, Message, Replies, number
 from flintreach.waymark.settings import place
 
 ANSWERED, UNSENT, NOT_RUN, BROKEN, TIMEOUT = "answered", "unsent", "not run", "broken", "timeout"
 RESET = struct.pack("ii", 1, 0)
 IDLE = 4_000_000_000  # ns that a connection may lie idle when the endpoint tells nothing
 MUTE_MS = 1200  # without a sign from the machine's kernel for so long, a connection is dead
+REFUSED = (400, 408, 421, 429, 503)  # statuses with which X-Not-Delivered is believed
+SURPLUS, MOST = 8, 64 << 20  # whole messages that are not ours, and bytes, that are read for one answer
 LOOK_S = 0.003  # seconds for which a fresh connection is looked at: an endpoint that has too many resets it
 
 
@@ -76,14 +78,19 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
         return Wire(sock)
 
-    def take(self) -> Wire | None:
-        now = time.monotonic_ns()
-        while self.idle:
-            wire = self.idle.pop()
-            if wire.usable(now):
-                return wire
-            wire.drop()
-        return None
+    def take(self, but=()) -> Wire | None:
+        """An idle connection that is well, none of `but`; None where there is none."""
+        now, aside = time.monotonic_ns(), [wire for wire in self.idle if wire in but]
+        self.idle = [wire for wire in self.idle if wire not in but] if aside else self.idle
+        try:
+            while self.idle:
+                wire = self.idle.pop()
+                if wire.usable(now):
+                    return wire
+                wire.drop()
+            return None
+        finally:
+            self.idle += aside
 
     def put(self, wire: Wire, message, most: int) -> None:
         """Keep a connection for later, `most` nanoseconds at the longest."""
@@ -91,8 +98,8 @@
         wire.idle_at, wire.keep = time.monotonic_ns(), min(IDLE, most)
         for part in told.split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
-                wire.keep = min(wire.keep, max(0, int(value) * 1_000_000_000 - 1_000_000_000))
+            if name.lower() == "timeout" and (seconds := number(value)) is not None:
+                wire.keep = min(wire.keep, max(0, seconds * 1_000_000_000 - 1_000_000_000))
         if wire.keep > 0:
             self.idle.append(wire)
         else:
@@ -118,11 +125,34 @@
     return True  # bytes before any request are no answer either
 
 
+def verdict(message: Message) -> str:
+    """What an answer to a request tells of it.
+
+    Only a refusal is a promise that it has not run: a busy status without one may come after the work, and
+    passed on it would be a promise of ours.  A success without its stamp, or in a coding that nobody asked
+    for, is not the endpoint's body.
+    """
+    status, coding = message.status, (message.get("content-encoding") or "identity").lower()
+    refusal = message.get("x-not-delivered") is not None
+    if status == 421 or refusal and status in REFUSED:
+        return NOT_RUN
+    if refusal or status in (408, 429, 503) or not 200 <= status <= 599:
+        return BROKEN
+    if status < 300 and message.get("x-postmark") is None:
+        return BROKEN
+    if coding != "identity" or (message.get("transfer-encoding") or "chunked").lower() != "chunked":
+        return BROKEN
+    return ANSWERED
+
+
 def exchange(wires: Wires, head: bytes, body: bytes, id: str, until: int, connect_s: float,
-             most: int = IDLE, still=lambda: True) -> Outcome:
+             most: int = IDLE, still=lambda: True, used: list | None = None) -> Outcome:
     """Send one request; `until`: steady nanoseconds at which nobody waits for the answer any more; `most`:
-    nanoseconds for which its connection may lie idle afterwards; `still()`: whether it may be sent there."""
-    wire = wires.take()
+    nanoseconds for which its connection may lie idle afterwards; `still()`: whether it may be sent there;
+    `used`: connections that this request went out on before, to which its own is added."""
+    # The id tells answers apart, so none goes twice on one connection, and one without an id goes alone.
+    used = [] if used is None else used
+    wire = wires.take(used) if id else None
     if wire is None:
         left = (until - time.monotonic_ns()) / 1e9
         if left <= 0:
@@ -138,7 +168,8 @@
         # While the connection came up, news came: the endpoint leaves, or its zone is emptied.
         wire.drop()
         return Outcome(UNSENT)
-    replies, kind, keep = Replies(head.startswith(b"HEAD ")), BROKEN, False
+    used.append(wire)
+    replies, size, keep = Replies(head.startswith(b"HEAD ")), 0, False
     try:
         with gevent.Timeout(max(0.0, (until - time.monotonic_ns()) / 1e9)):
             wire.sock.sendall(head + body)
@@ -151,14 +182,14 @@
                 except HTTPParseError:
                     pass  # what was whole before the garbage counts
                 # An old answer may stand in the place of ours: the id tells.
-                found = next((m for m in replies.whole if (m.get("x-try-id") or "") == id), None)
+                found = next((message for message in replies.whole if message.answers(id)), None)
                 if found is not None:
-                    lone = len(replies.whole) == 1 and not replies.begun and not replies.parser_failed()
-                    keep = found.keep and lone and replies.framed
-                    refused = found.get("x-not-delivered") is not None or found.status == 421
-                    kind = NOT_RUN if refused else ANSWERED
+                    kind = verdict(found)
+                    lone = len(replies.whole) == 1 and not replies.surplus and not replies.parser_failed()
+                    keep = found.keep and lone and replies.framed and kind != BROKEN and id != ""
                     return Outcome(kind, found)
-                if replies.parser_failed():
+                size += len(data)
+                if replies.parser_failed() or len(replies.whole) > SURPLUS or size > MOST:
                     break
             return Outcome(BROKEN)
     except gevent.Timeout:
--- a/flintreach/bothy/front.py
+++ b/flintreach/bothy/front.py
@@ -5,6 +5,7 @@
 another are carried side by side and answered in order.
 """
 
+import sys
 import time
 
 import gevent
@@ -136,6 +137,8 @@
                 if head is None:
                     return None
                 request = parse(head)
+            if not self.go_on(request):
+                return None
             with gevent.Timeout(limits.dwell_ms / 1000):
                 request.body = self.body(request, limits.contents_bytes)
         except gevent.Timeout:
@@ -143,9 +146,18 @@
         request.came = time.monotonic_ns()
         return request
 
-    def body(self, request: Request, most: int) -> bytes:
+    def go_on(self, request: Request) -> bool:
+        """Ask for a body that waits to be asked for.  False where the connection ends first."""
         if request.low.get("expect", "").lower() == "100-continue":
+            # An answer to what came before may be half written: nothing may stand inside it or before it.
+            if self.last is not None:
+                self.last.wait()
+            if self.closing:
+                return False
             self.socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        return True
+
+    def body(self, request: Request, most: int) -> bytes:
         if "transfer-encoding" in request.low:
             return self.chunks(most)
         length = int(request.low.get("content-length", 0))
@@ -193,7 +205,7 @@
             if not self.closing:
                 self.pending += 1
                 try:
-                    self.answer(request, carrier.carry(request), close)
+                    self.answer(request, self.carried(request), close)
                 finally:
                     self.pending -= 1
             return
@@ -205,18 +217,32 @@
 
     def beside(self, request: Request, before: Event | None, done: Event) -> None:
         try:
-            answer = self.server.carrier.carry(request)
+            # Looked up anew: by a configuration that has just come it may be one that must not run twice.
+            if before is not None and not self.server.carrier.alike(request):
+                before.wait()
+            answer = None if self.closing else self.carried(request)
             if before is not None:
                 before.wait()
             if not self.closing:
                 self.answer(request, answer, False)
-        except OSError:
+        except Exception as error:
+            # Without this answer the next would stand in its place.
             self.closing = True
             self.end()
+            if not isinstance(error, OSError):
+                raise
         finally:
             self.pending -= 1
             done.set()
 
+    def carried(self, request: Request) -> Answer:
+        """Its answer, whatever happens: a gap among the answers would be filled by the next one."""
+        try:
+            return self.server.carrier.carry(request)
+        except Exception:
+            gevent.get_hub().handle_error(self, *sys.exc_info())
+            return own(502)  # no promise: it may have run
+
     def refuse(self, status: int) -> None:
         """What could not be read ends its connection, behind the answers to what came before it."""
         if self.last is not None:
@@ -236,13 +262,14 @@
         id = request.low.get("x-try-id") if request else None
         if id and "x-try-id" not in names:
             lines.append(f"X-Try-Id: {id}")
-        if "content-length" not in names and answer.status not in (204, 304):
+        # To HEAD there is only the length that the endpoint told: none is not nought.
+        bare = request is not None and request.method == "HEAD"
+        if "content-length" not in names and answer.status not in (204, 304) and not bare:
             lines.append(f"Content-Length: {len(answer.body)}")
         if close:
             lines.append("Connection: close")
         head = "\r\n".join([*lines, "", ""]).encode("latin-1")
-        body = b"" if request is not None and request.method == "HEAD" else answer.body
-        self.socket.sendall(head + body)
+        self.socket.sendall(head if bare else head + answer.body)
         if close:
             # A close over unread bytes resets, and the reset may overtake the answer.
             self.socket.shutdown(socket.SHUT_WR)
--- a/flintreach/bothy/reply.py
+++ b/flintreach/bothy/reply.py
@@ -7,7 +7,13 @@
 
 from geventhttpclient._parser import HTTPParseError, HTTPResponseParser
 
-__all__ = ["HTTPParseError", "Message", "Replies"]
+__all__ = ["HTTPParseError", "Message", "Replies", "number"]
+
+
+def number(text: str) -> int | None:
+    """A count as a header gives it, in decimal digits; None where it is none.  `str.isdigit` alone takes
+    digits that `int` refuses, and `int` refuses thousands of them: both would raise amid an answer."""
+    return int(text) if text.isascii() and text.isdigit() and len(text) <= 15 else None
 
 
 class Message:
@@ -20,23 +26,33 @@
         """The value of a header, its name in lower case; the first where it stands twice."""
         return next((value for key, value in self.headers if key.lower() == name), None)
 
+    def answers(self, id: str) -> bool:
+        """Whether it belongs to the request with this id: one that names two belongs to neither."""
+        named = {value for key, value in self.headers if key.lower() == "x-try-id" and value}
+        return named == ({id} if id else set())
+
 
 class Replies(HTTPResponseParser):
-    """`whole`: messages that have ended, interim ones left out.  `begun`: another has begun behind them."""
+    """`whole`: messages that have ended, interim ones left out.  `begun`: another has begun behind them;
+    `surplus`: something that is a message came behind a whole one."""
 
     def __init__(self, bare: bool = False):
         super().__init__()
         self.bare = bare  # answers to HEAD have no body, whatever their length says
         self.whole: list[Message] = []
         self.now, self.begun, self.field, self.is_value, self.framed = Message(), False, None, False, False
+        self.surplus, self.in_body = False, False
 
     def _on_message_begin(self):
         self.now, self.begun, self.field, self.is_value, self.framed = Message(), True, None, False, False
+        self.surplus, self.in_body = self.surplus or bool(self.whole), False
 
     def _on_status(self, text):
         self.now.reason += text
 
     def _on_header_field(self, text):
+        if self.in_body:  # a trailer: it must not pass for an id or a stamp
+            return
         if self.is_value or self.field is None:
             self.now.headers.append([text, ""])
         else:
@@ -44,11 +60,13 @@
         self.field, self.is_value = text, False
 
     def _on_header_value(self, text):
+        if self.in_body:
+            return
         self.now.headers[-1][1] += text
         self.is_value = True
 
     def _on_headers_complete(self):
-        self.now.status = self.get_code()
+        self.now.status, self.in_body = self.get_code(), True
         self.framed = any(name.lower() in ("content-length", "transfer-encoding")
                           for name, _ in self.now.headers)
         return self.bare
--- a/flintreach/rope/bundle.py
+++ b/flintreach/rope/bundle.py
@@ -8,6 +8,7 @@
 
 from flintreach.rope.host import Host
 from flintreach.rope.link import Closed, Link
+from flintreach.rope.meter import Meter
 
 
 class Bundle:
@@ -24,17 +25,27 @@
         self.server.start()
 
     def serve(self, sock, address) -> None:
-        gevent.joinall(Link(sock, self.handlers).readers)  # the server closes the socket on return
+        # The server closes the socket on return.
+        gevent.joinall(Link(sock, self.handlers, meter=self.meter).readers)
+
+    @property
+    def meter(self) -> Meter:
+        return self.host.meter
+
+    def traffic(self) -> list[dict]:
+        """Messages and bytes by kind since the start, as rows."""
+        return self.meter.rows()
 
     def link(self, address: tuple[str, int], timeout: float) -> Link:
-        """Raises OSError or Closed."""
-        lock = self.locks.setdefault(address, self.host.lock())
+        """The link to a pilot, up within `timeout` seconds.  Raises OSError or Closed."""
+        until, lock = self.host.now() + timeout, self.locks.setdefault(address, self.host.lock())
         if not lock.acquire(timeout=timeout):
             raise Closed
         try:
             found = self.links.get(address)
             if found is None or found.closed:
-                found = self.links[address] = self.host.dial(address, self.handlers, timeout)
+                left = max(0.001, until - self.host.now())
+                found = self.links[address] = self.host.dial(address, self.handlers, left)
             return found
         finally:
             lock.release()
@@ -47,14 +58,19 @@
         self.locks.pop(address, None)
 
     def ask(self, address: tuple[str, int], kind: str, body: Any = None, timeout: float = 1.0) -> Any:
-        """The answer of the pilot at an address, or None if none came within `timeout` seconds."""
+        """The answer of the pilot at an address, or None if none came within `timeout` seconds.  It is asked
+        once at the most; without an answer it may have acted all the same."""
         asked = self.host.now()
         try:
-            answer = self.link(address, timeout).ask(kind, body, timeout)
+            link = self.link(address, timeout)
+            left = asked + timeout - self.host.now()
+            if left <= 0:
+                return None
+            answer = link.ask(kind, body, left)
             # Not when it came: it may have lain in a buffer while this process slept.
             self.heard[address] = max(asked, self.heard.get(address, asked))
             return answer
-        except (OSError, Closed, gevent.Timeout):
+        except (OSError, Closed):
             return None
 
     def gather(self, addresses: list[tuple[str, int]], kind: str, body: Any, enough: Callable[[list], bool],
--- a/flintreach/rope/host.py
+++ b/flintreach/rope/host.py
@@ -14,6 +14,7 @@
 from gevent.lock import RLock
 
 from flintreach.rope.link import Link, dial
+from flintreach.rope.meter import Meter
 
 
 class Task:
@@ -33,6 +34,9 @@
 
     chance = random
 
+    def __init__(self):
+        self.meter = Meter()  # of all links of the process
+
     def now(self) -> float:
         return time.monotonic()
 
@@ -55,7 +59,7 @@
 
     def dial(self, address: tuple[str, int], handlers: dict[str, Callable], timeout: float) -> Link:
         """A link to another pilot.  Raises OSError."""
-        return dial(address, handlers, timeout)
+        return dial(address, handlers, timeout, meter=self.meter)
 
     def all(self, calls: Iterable[Callable], timeout: float) -> None:
         """Run calls beside each other; return when all have ended or `timeout` seconds are over."""
--- a/flintreach/rope/link.py
+++ b/flintreach/rope/link.py
@@ -1,10 +1,14 @@
 """One connection between two pilots: messages both ways, questions with answers, and its end.
 
-A message is [number, kind, body]; an answer is [-number, "", body]; number 0 wants no answer.  A link that
-stays mute past its limit is closed: a peer behind a cut says nothing, and hangs would pile up.
+A message is [number, kind, body]; an answer is [-number, "", body], or [-number, "error", None] where there
+will be none; number 0 wants no answer.  Numbers are the correlation ids of one link and are never used again,
+so an answer that comes late meets nobody.  A question goes out once at the most: what is to be asked again is
+asked by its caller, who knows whether that may be.  A link that stays mute past its limit is closed: a peer
+behind a cut says nothing, and hangs would pile up.
 """
 
 import struct
+import sys
 from collections.abc import Callable
 from typing import Any
 
@@ -13,7 +17,11 @@
 from gevent import socket
 from gevent.event import AsyncResult, Event
 
+from flintreach.rope.meter import Meter
+
 HEAD, MOST = struct.Struct(">I"), 16 << 20
+QUEUED = 2 * MOST  # bytes that may wait for a peer that does not read; beyond that the link ends
+WAITING, HANDLED = 4096, 1024  # questions of ours without an answer yet; the peer's that are worked on
 PACK, UNPACK = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder()
 
 
@@ -25,37 +33,56 @@
 
 
 class Closed(Exception):
-    """The link ended before an answer came; whether the question was acted on is not known."""
+    """No answer: the link ended, time is up, or the peer could not. Whether it was acted on is not known."""
 
 
 class Link:
     """`handlers[kind](link, body)` runs in a greenlet of its own; what it returns is the answer."""
 
-    def __init__(self, sock, handlers: dict[str, Callable], mute_ms: int = 1500):
-        self.sock, self.handlers = braced(sock, mute_ms), handlers
-        self.waiting: dict[int, AsyncResult] = {}
+    def __init__(self, sock, handlers: dict[str, Callable], mute_ms: int = 1500, meter: Meter | None = None):
+        self.sock, self.handlers, self.meter = braced(sock, mute_ms), handlers, meter or Meter()
+        self.waiting: dict[int, tuple[str, AsyncResult]] = {}
         self.out, self.some, self.number = [], Event(), 0
+        self.queued, self.handled = 0, 0  # bytes not yet taken by the kernel; questions worked on
         self.closed, self.on_close = False, []
         self.readers = [gevent.spawn(self.read), gevent.spawn(self.write)]
 
-    def send(self, kind: str, body: Any = None, number: int = 0) -> None:
-        if not self.closed:
-            message = PACK.encode([number, kind, body])
-            self.out.append(HEAD.pack(len(message)) + message)
-            self.some.set()
+    def send(self, kind: str, body: Any = None, number: int = 0) -> bool:
+        """False where it does not go out: the link has ended, or the message is too long for the peer."""
+        return self.put(kind, kind, body, number)
 
-    def ask(self, kind: str, body: Any = None, timeout: float = 1.0) -> Any:
-        """The peer's answer.  Raises Closed when the link ends or `timeout` seconds are over."""
+    def put(self, label: str, kind: str, body: Any, number: int) -> bool:
         if self.closed:
+            return False
+        message = PACK.encode([number, kind, body])
+        if len(message) > MOST:  # the peer would end the link over it
+            self.meter.fault("too long")
+            return False
+        if self.queued + len(message) > QUEUED:
+            self.meter.fault("peer does not read")
+            self.close()
+            return False
+        self.queued += len(message)
+        self.out.append(HEAD.pack(len(message)) + message)
+        self.some.set()
+        self.meter.went(label, len(message))
+        return True
+
+    def ask(self, kind: str, body: Any = None, timeout: float = 1.0) -> Any:
+        """The peer's answer.  Raises Closed when the link ends, the peer has none, or `timeout` seconds are
+        over."""
+        if self.closed or len(self.waiting) >= WAITING:
             raise Closed
         self.number += 1
         number, result = self.number, AsyncResult()
-        self.waiting[number] = result
-        self.send(kind, body, number)
+        self.waiting[number] = kind, result
         try:
-            return result.get(timeout=timeout)
-        except gevent.Timeout:
-            raise Closed from None
+            if not self.send(kind, body, number):
+                raise Closed
+            result.wait(timeout)  # a timeout of the caller's own passes through
+            if not result.ready():
+                raise Closed
+            return result.get()
         finally:
             self.waiting.pop(number, None)
 
@@ -64,9 +91,10 @@
             while not self.closed:
                 self.some.wait()
                 self.some.clear()
-                out, self.out = b"".join(self.out), []
+                size, out, self.out = self.queued, b"".join(self.out), []
                 if out:
                     self.sock.sendall(out)
+                    self.queued -= size
         except OSError:
             self.close()
 
@@ -84,39 +112,77 @@
             while not self.closed:
                 size, = HEAD.unpack(self.exactly(4))
                 if size > MOST:
-                    raise OSError
+                    raise ValueError
                 number, kind, body = UNPACK.decode(self.exactly(size))
-                if number < 0:
-                    if result := self.waiting.get(-number):
-                        result.set(body)
-                elif handler := self.handlers.get(kind):
-                    if number:
-                        gevent.spawn(self.answer, handler, number, body)
-                    else:
-                        handler(self, body)
-        except (OSError, msgspec.DecodeError, ValueError, TypeError):
+                if type(number) is not int or type(kind) is not str:
+                    raise ValueError
+                self.take(number, kind, body, size)
+        except OSError:
             pass
+        except (msgspec.DecodeError, ValueError, TypeError, RecursionError):
+            self.meter.fault("no message")
         finally:
             self.close()
 
-    def answer(self, handler, number, body) -> None:
-        self.send("", handler(self, body), -number)
+    def take(self, number: int, kind: str, body: Any, size: int) -> None:
+        if number < 0:
+            # Taken out at once: a surplus answer finds nobody, and an end of the link takes nothing back.
+            asked, result = self.waiting.pop(-number, ("late", None))
+            self.meter.came(f"{asked} reply", size)
+            if result is not None and kind == "error":
+                result.set_exception(Closed())
+            elif result is not None:
+                result.set(body)
+            return
+        handler = self.handlers.get(kind)
+        self.meter.came(kind if handler else "unknown", size)  # a peer's words must not grow the table
+        if not number:
+            # News that were not taken leave a gap: only a new link, which begins with all, closes it.
+            if handler and not self.handle(handler, kind, body)[0]:
+                self.close()
+        elif handler is None or self.handled >= HANDLED:
+            self.meter.fault("too many questions" if handler else "unknown question")
+            self.put("error", "error", None, -number)
+        else:
+            self.handled += 1
+            gevent.spawn(self.answer, handler, kind, number, body)
+
+    def handle(self, handler, kind: str, body: Any) -> tuple[bool, Any]:
+        """Whether the handler came to its end, and what it returned; a fault of its own is counted."""
+        try:
+            return True, handler(self, body)
+        except (Exception, gevent.Timeout):
+            self.meter.fault(f"{kind} failed")
+            gevent.get_hub().handle_error(self, *sys.exc_info())
+            return False, None
+
+    def answer(self, handler, kind: str, number: int, body: Any) -> None:
+        try:
+            good, found = self.handle(handler, kind, body)
+            good = good and self.put(f"{kind} reply", "", found, -number)
+        except (TypeError, ValueError, OverflowError):  # what msgpack can't tell
+            self.meter.fault(f"{kind} failed")
+            good = False
+        finally:
+            self.handled -= 1
+        if not good:
+            self.put("error", "error", None, -number)
 
     def close(self) -> None:
         if self.closed:
             return
-        self.closed = True
+        self.closed, self.out = True, []
         self.some.set()
         self.sock.close()
-        for result in [*self.waiting.values()]:
-            result.set_exception(Closed())
+        while self.waiting:
+            self.waiting.popitem()[1][1].set_exception(Closed())
         for told in self.on_close:
             told(self)
 
 
 def dial(address: tuple[str, int], handlers: dict[str, Callable], timeout: float = 1.0,
-         mute_ms: int = 1500) -> Link:
+         mute_ms: int = 1500, meter: Meter | None = None) -> Link:
     """A link to another pilot.  Raises OSError."""
     sock = socket.create_connection(address, timeout=timeout)
     sock.settimeout(None)
-    return Link(sock, handlers, mute_ms)
+    return Link(sock, handlers, mute_ms, meter)
