A grant that was given up could still arrive later: its connection ends by a reset now

Change: such connections drop what still waits to be sent, and what is not taken for 0.9 s. Measured: a case over a socket reads the end of the stream before the change, a reset after it.

--- a/flintreach/bothy/endpoint.py
+++ b/flintreach/bothy/endpoint.py
@@ -5,17 +5,16 @@
 """
 
 import errno
-import struct
 import time
 
 import gevent
 from gevent import socket
 
 from flintreach.bothy.reply import HTTPParseError, Message, Replies, number
+from flintreach.rope.link import RESET
 from flintreach.waymark.settings import place
 
 ANSWERED, UNSENT, NOT_RUN, BROKEN, TIMEOUT = "answered", "unsent", "not run", "broken", "timeout"
-RESET = struct.pack("ii", 1, 0)
 IDLE = 4_000_000_000  # ns that a connection may lie idle when the endpoint tells nothing
 MUTE_MS = 1200  # without a sign from the machine's kernel for so long, a connection is dead
 REFUSED = (400, 408, 421, 429, 503)  # statuses with which X-Not-Delivered is believed
--- a/flintreach/refuge/keys.py
+++ b/flintreach/refuge/keys.py
@@ -1,5 +1,7 @@
 """Keys handed out to the endpoints of sharded services: the loop that acts on `bunks.keeping`."""
 
+from socket import SO_LINGER, SOL_SOCKET
+
 import gevent
 import msgspec
 from geventhttpclient import HTTPClient
@@ -7,11 +9,13 @@
 
 from flintreach.bunks.keeping import GRANT, Keeping
 from flintreach.bunks.plan import Allocation
+from flintreach.rope.link import RESET, braced
 from flintreach.waymark import calls
 from flintreach.waymark.log import say
 from flintreach.waymark.settings import place
 
 PATHS = {GRANT: calls.GRANT, "release": calls.RELEASE}
+MUTE_MS = 900  # a call without a sign of its arrival for so long is dropped by this machine
 PACK, UNPACK = msgspec.msgpack.encode, msgspec.msgpack.decode
 
 
@@ -80,6 +84,8 @@
             # Where no connection comes up nothing was sent, and a dead holder's time does not begin anew.
             if not self.state.goes_out(kind, r, self.host.now()):
                 raise Late
+            # Given up, it must not arrive later: after a close in order the kernel would send it for minutes.
+            braced(sock, MUTE_MS).setsockopt(SOL_SOCKET, SO_LINGER, RESET)
 
         client._connection_pool.after_connect = connected  # the pool's own hook, meant to be overridden
         try:
--- a/flintreach/rope/link.py
+++ b/flintreach/rope/link.py
@@ -19,6 +19,7 @@
 
 from flintreach.rope.meter import Meter
 
+RESET = struct.pack("ii", 1, 0)  # for SO_LINGER: a close drops what still waits to be sent
 HEAD, MOST = struct.Struct(">I"), 16 << 20
 QUEUED = 2 * MOST  # bytes that may wait for a peer that does not read; beyond that the link ends
 WAITING, HANDLED = 4096, 1024  # questions of ours without an answer yet; the peer's that are worked on
--- a/tests/test_system_keys.py
+++ b/tests/test_system_keys.py
@@ -9,10 +9,15 @@
 from types import SimpleNamespace
 from unittest import mock
 
+import gevent
+from gevent import socket
+
 from flintreach.bunks import keeping, plan, region
 from flintreach.bunks.keeping import GRANT, NET, Keeping
 from flintreach.bunks.plan import KEYS, Allocation, Heat
 from flintreach.bunks.warmth import Warmth
+from flintreach.refuge.keys import Keeper
+from flintreach.rope.host import Host
 
 EVEN = Heat()
 SAMPLES = [0, 1, 4000, 8191, 8192, 20000, 40000, 65535]
@@ -270,3 +275,23 @@
         keys = plan.borne(allocation, able, EVEN)
         self.assertAlmostEqual(sum(keys[id] for id in able if id[0] == "n"), 1.0)
         self.assertLess(max(keys.values()), 0.36)
+
+
+class Calls(unittest.TestCase):
+    def test_a_grant_that_was_given_up_does_not_arrive_later(self):
+        """A close in order would leave it to the kernel, which sends it again for minutes."""
+        listener = socket.socket()
+        self.addCleanup(listener.close)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        register = SimpleNamespace(acceptor=None, host=Host())
+        keeper = Keeper("a", "lot", register, 10_000, dict, lambda id: False, None, None)
+        keeper.state.until = keeper.host.now() + 5
+        r = plan.Range(0, 9, "e0", 1, plan.HELD, addr=f"127.0.0.1:{listener.getsockname()[1]}")
+        job = gevent.spawn(keeper.exchange, GRANT, r)
+        there, _ = listener.accept()
+        self.addCleanup(there.close)
+        there.recv(65536)
+        self.assertEqual(job.get(), (0, None))
+        with self.assertRaises(ConnectionResetError):
+            there.recv(1)
