The voters follow the losses and change by agreement: joint epochs, learners, lives

Cause: (a) a first start settled after 0.6 s without a new disk, on two or three of five, for ever; the losses allowed then left no majority or took the only copies. (b) Voters never changed: a machine removed for good left its group one short. (c) Found by the exploration: a disk that came back empty could answer after reading the others, while a change still counted what the lost disk had accepted and found the rest of its quorum later; with three voters an acknowledged write was then missed by a quorum. Change: cairn/wanted.py (for circle.py) tells who should vote, cairn/turnover.py brings it about by a joint epoch, refuge/voting.py decides when. Prepare, accept, stamps, values and books carry the epoch; quorums are those of the configuration. A new disk copies first, and drops what it held. A wiped disk has its life recorded by a change before it relearns. The log beside the file has a limit.

--- a/flintreach/cairn/acceptor.py
+++ b/flintreach/cairn/acceptor.py
@@ -39,7 +39,8 @@
             return "refused", slot
         return "promise", Slot(ballot, slot.accepted, slot.value)
 
-    def accept(self, key: str, ballot: tuple[int, str], value: bytes, life: str) -> tuple[str, Slot | None]:
+    def accept(self, key: str, ballot: tuple[int, str], value: bytes | None,
+               life: str) -> tuple[str, Slot | None]:
         """("accepted", the slot to keep), ("refused", the slot as it stands) or ("mute", None)."""
         # A promise given by the disk that was lost must not count: its other promises are forgotten.
         if not self.voting or life != self.life:
@@ -49,18 +50,14 @@
             return "refused", slot
         return "accepted", Slot(ballot, ballot, value)
 
-    def relearn(self, answers: list[dict[str, Slot]], others: int, group: int) -> dict[str, Slot] | None:
-        """Slots for a disk that came back empty, from what enough of the `others` hold; None: too few.
 
-        Every majority that the lost disk was part of has a member among any `group - majority + 1` others.
-        """
-        if len(answers) < min(others, group - (group // 2 + 1) + 1):
-            return None
-        found: dict[str, Slot] = {}
-        for held in answers:
-            for key, slot in held.items():
-                mine = found.setdefault(key, Slot())
-                mine.promised = max(mine.promised, slot.promised)
-                if slot.accepted > mine.accepted:
-                    mine.accepted, mine.value = slot.accepted, slot.value
-        return found
+def merged(answers: list[dict[str, Slot]]) -> dict[str, Slot]:
+    """Slots for a disk that came back empty, from what enough others hold (`Voters.covered`)."""
+    found: dict[str, Slot] = {}
+    for held in answers:
+        for key, slot in held.items():
+            mine = found.setdefault(key, Slot())
+            mine.promised = max(mine.promised, slot.promised)
+            if slot.accepted > mine.accepted:
+                mine.accepted, mine.value = slot.accepted, slot.value
+    return found
--- a/flintreach/cairn/register.py
+++ b/flintreach/cairn/register.py
@@ -3,27 +3,20 @@
 Without a disk of its own (or outside the group of disks) a process only writes and reads.
 """
 
+from collections.abc import Callable
 from typing import Any
 
-import msgspec
-
-from flintreach.cairn.acceptor import Acceptor, Slot
+from flintreach.cairn.acceptor import NOTHING, Acceptor, Slot, merged
 from flintreach.cairn.proposer import Change, Step
 from flintreach.cairn.store import Store
-from flintreach.cairn.voters import Voters
+from flintreach.cairn.voters import Address, Voters
 from flintreach.rope.bundle import Bundle
 
-PACK, UNPACK = msgspec.msgpack.encode, msgspec.msgpack.decode
-
 
 def row(slot: Slot) -> list:
     return [list(slot.promised), list(slot.accepted), slot.value]
 
 
-def slot(row: list) -> Slot:
-    return Slot(tuple(row[0]), tuple(row[1]), row[2])
-
-
 class Register:
     """`voters`: the latest configuration that this process knows to be decided; epoch 0 until one is."""
 
@@ -31,12 +24,17 @@
         self.bundle, self.host, self.voters, self.store = bundle, bundle.host, voters, store
         self.me = f"{bundle.address[0]}:{bundle.address[1]}"
         self.acceptor = Acceptor(store.life, store.voting, store.slots) if store else None
+        # Of a first start, taken in while it did not vote, or it has relearned what a lost disk had promised.
+        self.trusted = bool(store and store.voting)
+        self.adopting = self.host.lock()
+        self.busy = 0  # prepares and accepts under way at this disk
         self.rounds: dict[str, int] = {}
-        self.lives: dict[str, str] = {}  # address -> the disk that last promised there
+        self.lives: dict[Address, str] = {}  # the disk that last promised there
         self.locks: dict = {}
         self.refused = 0  # writes that the disk did not take
+        self.settle()
         bundle.handlers |= {"prepare": self.on_prepare, "accept": self.on_accept, "slots": self.on_slots,
-                            "voters": self.on_voters}
+                            "stamps": self.on_stamps, "value": self.on_value, "voters": self.on_voters}
 
     @property
     def group(self) -> list[tuple[str, int]]:
@@ -51,7 +49,7 @@
             return ["newer", self.voters.row()]
         return ["behind"] if epoch > self.voters.epoch else None
 
-    def heed(self, address: tuple[str, int], answer: Any) -> bool:
+    def heed(self, address: Address, answer: Any) -> bool:
         """Whether an answer was one of `check`'s: then the question is to be asked again."""
         if not isinstance(answer, list) or answer[:1] not in (["newer"], ["behind"]):
             return False
@@ -61,17 +59,49 @@
             self.bundle.ask(address, "voters", self.voters.row(), 0.5)
         return True
 
+    def ask(self, address: Address, kind: str, body: Any, timeout: float) -> Any:
+        """As `Bundle.ask`, for a question that carries our epoch: who is in another one is brought to it and
+        asked again. None too where our own epoch moved meanwhile: the question was of the earlier one."""
+        until, epoch = self.host.now() + timeout, self.voters.epoch
+        for _ in range(3):
+            answer = self.bundle.ask(address, kind, body, max(0.01, until - self.host.now()))
+            if not self.heed(address, answer):
+                return answer
+            if self.voters.epoch != epoch or self.host.now() >= until:
+                return None
+        return None
+
+    def gather(self, addresses: list[Address], kind: str, body: Any, enough: Callable[[list], bool],
+               timeout: float) -> list:
+        """As `Bundle.gather`, by `ask`; it ends too when our epoch moves."""
+        epoch = self.voters.epoch
+        return self.bundle.gather(addresses, kind, body,
+                                  lambda answers: self.voters.epoch != epoch or enough(answers), timeout,
+                                  self.ask)
+
+    def quorum(self, kind: str, body: Any, timeout: float) -> dict[Address, Any] | None:
+        """Answers of a quorum of the configuration that stands, all given under its epoch; None: too few."""
+        voters = self.voters
+        met = lambda answers: voters.met(address for address, _ in answers)  # noqa: E731
+        answers = self.gather(voters.members(), kind, body, met, timeout)
+        return dict(answers) if met(answers) and self.voters == voters else None
+
     def adopt(self, voters: Voters) -> bool:
         """Take a later configuration, one that was decided; whether this process now holds it or a later one.
 
         On disk first: an acceptor that forgot an epoch would serve the earlier one again.
         """
-        if voters.epoch > self.voters.epoch:
-            if self.store and not self.store.keep({}, {"voters": PACK(voters.row()).hex()}):
+        with self.adopting:  # two at once could reach the disk in the wrong order
+            if voters.epoch <= self.voters.epoch:
+                return True
+            # One that did not vote has promised nothing that counts.
+            fresh = self.store and self.voters.epoch and not self.voters.lives(self.bundle.address) \
+                and voters.lives(self.bundle.address) == {self.store.life}
+            if self.store and not self.store.keep({}, voters.fact() | ({"voting": "1"} if fresh else {})):
                 return False
-            if voters.epoch > self.voters.epoch:  # another may have come while the disk wrote
-                self.voters = voters
-        return True
+            self.voters, self.trusted = voters, self.trusted or bool(fresh)
+            self.settle()
+            return True
 
     def on_voters(self, link, row):
         """Another process tells its configuration (None: it only asks); ours is the answer."""
@@ -79,6 +109,16 @@
             self.adopt(Voters.of(row))
         return self.voters.row() if self.voters.epoch else None
 
+    def settle(self) -> None:
+        """Whether this disk's word counts: the configuration records its life, and it knows all that it
+        promised.
+
+        An older disk that comes back to its address does not know what a later one promised there.
+        """
+        if self.acceptor and self.voters.epoch:
+            lives = self.voters.lives(self.bundle.address)
+            self.acceptor.voting = self.trusted and bool(lives) and lives <= {"", self.store.life}
+
     def votes(self) -> bool:
         """Whether this process's disk is one of those that vote, and knows enough to."""
         return self.acceptor is not None and self.acceptor.voting and self.bundle.address in self.group
@@ -97,100 +137,160 @@
         self.acceptor.slots[key] = fresh
         return word
 
-    def on_prepare(self, link, body):
-        key, ballot = body[0], tuple(body[1])
+    def act(self, key: str, epoch: int, decide: Callable[[], tuple[str, Slot | None]]) -> list:
+        """What the disk answers under an epoch: [word, slot, life], or what `check` says."""
+        if late := self.check(epoch):
+            return late
         if not self.acceptor:
             return ["mute", None, ""]
-        with self.guarded(key):
-            word, found = self.acceptor.prepare(key, ballot)
-            word = self.keep(key, word, found)
-        return [word, row(found) if found else None, self.acceptor.life]
+        self.busy += 1
+        try:
+            with self.guarded(key):
+                if late := self.check(epoch):  # it may have moved while another held the key
+                    return late
+                word, found = decide()
+                word = self.keep(key, word, found)
+        finally:
+            self.busy -= 1
+        # Moved while the disk wrote: who listed the keys of the later epoch may have missed this one.
+        return self.check(epoch) or [word, row(found) if found else None, self.acceptor.life]
+
+    def on_prepare(self, link, body):
+        key, ballot, epoch = body[0], tuple(body[1]), body[2]
+        return self.act(key, epoch, lambda: self.acceptor.prepare(key, ballot))
 
     def on_accept(self, link, body):
-        key, ballot, value, life = body[0], tuple(body[1]), body[2], body[3]
-        if not self.acceptor:
-            return ["mute", None]
-        with self.guarded(key):
-            word, found = self.acceptor.accept(key, ballot, value, life)
-            word = self.keep(key, word, found)
-        return [word, row(found) if found else None]
+        key, ballot, value, life, epoch = body[0], tuple(body[1]), *body[2:]
+        return self.act(key, epoch, lambda: self.acceptor.accept(key, ballot, value, life))
+
+    def on_slots(self, link, epoch):
+        """[promised, accepted] of each key, for a disk that came back empty; values are asked one by one."""
+        if late := self.check(epoch):
+            return late
+        if not self.votes():
+            return None
+        return {key: [list(held.promised), list(held.accepted)] for key, held in self.acceptor.slots.items()}
 
-    def on_slots(self, link, body):
+    def on_stamps(self, link, epoch):
+        if late := self.check(epoch):
+            return late
         if not self.votes():
             return None
-        return {key: row(found) for key, found in self.acceptor.slots.items()}
+        return {key: list(held.accepted) for key, held in self.acceptor.slots.items()}
+
+    def on_value(self, link, body):
+        epoch, key = body
+        if late := self.check(epoch):
+            return late
+        held = self.acceptor.slots.get(key) if self.votes() else None
+        return [list(held.accepted), held.value] if held else None
+
+    def fetch(self, address: Address, key: str, stamp: tuple[int, str]) -> Slot | None:
+        """What another disk has accepted of a key, of this stamp or later."""
+        told = self.ask(address, "value", [self.voters.epoch, key], 0.8)
+        if not told or tuple(told[0]) < stamp:
+            return None
+        return Slot(tuple(told[0]), tuple(told[0]), told[1])
 
     def relearn(self) -> bool:
-        """Whether this disk may vote: one that came back empty first learns what the others hold."""
-        if not self.acceptor or self.acceptor.voting or self.bundle.address not in self.group:
+        """Whether this disk may vote, or need not: one that came back empty first learns what the others
+        hold.
+
+        Only under an epoch that records its life: a change of an earlier one may still count an acceptance of
+        the lost disk, and find the rest of its quorum after the others have answered here.
+        """
+        mine, voters = self.bundle.address, self.voters
+        if not self.acceptor or self.acceptor.voting or mine not in self.group:
             return True
-        mine = self.bundle.address
-        others = [address for address in self.group if address != mine]
-        need = len(self.group) - (len(self.group) // 2 + 1) + 1
-        answers = self.bundle.gather(others, "slots", None, lambda held: len(held) >= need, 2.0)
-        held = [{key: slot(found) for key, found in answer.items()} for _, answer in answers]
-        found = self.acceptor.relearn(held, len(others), len(self.group))
-        if found is None or not self.store.keep(found, {"voting": "1"}):
+        if voters.lives(mine) != {self.store.life}:
             return False
-        self.acceptor.slots, self.acceptor.voting = found, True
-        return True
+        others = [address for address in voters.members() if address != mine]
+        heard = lambda answers: voters.covered(mine, (address for address, _ in answers))  # noqa: E731
+        answers = self.gather(others, "slots", voters.epoch, heard, 2.0)
+        if not heard(answers) or self.voters != voters:
+            return False  # a later epoch was told: asked again under it
+        held = [(address, {key: Slot(tuple(promised), tuple(accepted))
+                           for key, (promised, accepted) in rows.items()}) for address, rows in answers]
+        found, missing = merged([slots for _, slots in held]), []
+
+        def value(key, slot):
+            holder = next(who for who, slots in held if slots.get(key, Slot()).accepted == slot.accepted)
+            got = self.fetch(holder, key, slot.accepted)
+            if got is None:
+                missing.append(key)
+            else:
+                found[key] = Slot(max(slot.promised, got.promised), got.accepted, got.value)
+
+        wanted = [(key, slot) for key, slot in found.items() if slot.accepted != NOTHING]
+        self.host.all([lambda key=key, slot=slot: value(key, slot) for key, slot in wanted], 2.0)
+        if missing or any(found[key] is slot for key, slot in wanted) or self.voters != voters:
+            return False
+        # Keys that only a disk of before holds are dropped: it was lost, and this one stands for another.
+        kept = {**dict.fromkeys(self.acceptor.slots), **found}
+        if not self.store.keep(kept, {"voting": "1"}):
+            return False
+        self.acceptor.slots, self.trusted = found, True
+        self.settle()
+        return self.acceptor.voting
 
     # This process's changes.
 
-    def change(self, key: str, step: Step, timeout: float = 2.0, group: list | None = None):
+    def change(self, key: str, step: Step, timeout: float = 2.0):
         """(True, the value that stands after `step`) or (False, None): not known within `timeout` seconds.
 
         Not known means that the change may or may not stand.
         """
-        group = self.group if group is None else group
         until = self.host.now() + timeout
         while (left := until - self.host.now()) > 0:
             self.rounds[key] = self.rounds.get(key, 0) + 1
-            change = Change(len(group), (self.rounds[key], self.me), step)
-            self.attempt(change, key, min(left, 1.0), group)
+            voters = self.voters
+            change = Change(voters.met, (self.rounds[key], self.me), step)
+            self.attempt(change, key, min(left, 1.0), voters)
             if change.state == "done":
                 return True, change.value
             self.rounds[key] = max(self.rounds[key], change.ahead)
-            self.host.sleep(self.host.chance.uniform(0.005, 0.05) if change.state == "lost" else 0.05)
+            if self.voters.epoch == voters.epoch:  # else this was asked under an earlier one: at once again
+                self.host.sleep(self.host.chance.uniform(0.005, 0.05) if change.state == "lost" else 0.05)
         return False, None
 
-    def attempt(self, change: Change, key: str, timeout: float, group: list) -> None:
-        until = self.host.now() + timeout
+    def attempt(self, change: Change, key: str, timeout: float, voters: Voters) -> None:
+        until, group = self.host.now() + timeout, voters.members()
 
         def heard(answers):
             while len(answers) > heard.seen:
                 address, (word, found, life) = answers[heard.seen]
                 heard.seen += 1
                 if word == "promise":
-                    change.promised(f"{address}", life, tuple(found[1]), found[2])
+                    change.promised(address, life, tuple(found[1]), found[2])
                 elif word == "refused":
                     change.turned_down(tuple(found[0]))
             return change.state != "prepare"
 
         def taken(answers):
             while len(answers) > taken.seen:
-                address, (word, found) = answers[taken.seen]
+                address, (word, found, _) = answers[taken.seen]
                 taken.seen += 1
                 if word == "accepted":
-                    change.accepted(f"{address}")
+                    change.accepted(address)
                 elif word == "refused":
                     change.turned_down(tuple(found[0]))
             return change.state != "accept"
 
         heard.seen = taken.seen = 0
-        self.bundle.gather(group, "prepare", [key, list(change.ballot)], heard, timeout)
-        # A process that slept must not tell others to accept what its caller has given up on.
-        if change.state != "accept" or self.host.now() > until:
+        self.gather(group, "prepare", [key, list(change.ballot), voters.epoch], heard, timeout)
+        # A process that slept must not tell others to accept what its caller has given up on.  Nor may an
+        # attempt go on under a later epoch: its promises are not a quorum of that.
+        if change.state != "accept" or self.host.now() > until or self.voters.epoch != voters.epoch:
             return
         # Those whose promise came too late are told as well, lest they lag for the sweep to find.
         self.lives |= change.lives
         # A copy: another change may meanwhile meet a newer disk there, which this promise does not bind.
         lives = {**self.lives, **change.lives}
-        group = [address for address in group if f"{address}" in lives]
+        group = [address for address in group if address in lives]
         body = [key, list(change.ballot), change.value]
-        self.bundle.gather(group, "accept", lambda address: [*body, lives[f"{address}"]], taken,
-                           max(0.05, until - self.host.now()))
+        self.gather(group, "accept", lambda address: [*body, lives[address], voters.epoch], taken,
+                    max(0.05, until - self.host.now()))
 
     def read(self, key: str, timeout: float = 2.0) -> tuple[bool, bytes | None]:
-        """What stands, by a majority; old copies are mended on the way."""
+        """What stands, by a quorum; old copies are mended on the way."""
         return self.change(key, lambda old: None, timeout)
--- a/flintreach/cairn/store.py
+++ b/flintreach/cairn/store.py
@@ -14,6 +14,7 @@
 from flintreach.cairn.acceptor import Slot
 
 FORMAT = "1"
+LOG_BYTES = 4 << 20
 SCHEMA = """
 create table if not exists slots (key text primary key, promised_n int, promised_by text, accepted_n int,
     accepted_by text, value blob) without rowid;
@@ -43,7 +44,9 @@
     def connect(self) -> sqlite3.Connection:
         base = sqlite3.connect(self.path, isolation_level=None, check_same_thread=False)
         # The lock is ours alone, so that the index of the log stays in memory, not in a mapped file.
-        for line in ("locking_mode=EXCLUSIVE", "journal_mode=WAL", "synchronous=FULL", "cache_size=-1024"):
+        for line in ("locking_mode=EXCLUSIVE", "journal_mode=WAL", "synchronous=FULL", "cache_size=-1024",
+                     # The log is folded in every so many pages, and cut down to this when it was longer.
+                     "wal_autocheckpoint=500", f"journal_size_limit={LOG_BYTES}"):
             base.execute(f"pragma {line}")
         return base
 
@@ -76,9 +79,10 @@
             f"select * from {table}").fetchall())) for table in ("facts", "huts"))
         return slots, facts, huts
 
-    def keep(self, slots: dict[str, Slot], facts: dict[str, str] | None = None,
+    def keep(self, slots: dict[str, Slot | None], facts: dict[str, str] | None = None,
              huts: dict[str, bytes] | None = None) -> bool:
-        """Whether it is on disk, once that is known; False when the disk refused it."""
+        """Whether it is on disk, once that is known; False when the disk refused it. None and b"" are
+        removed."""
         result = AsyncResult()
         self.pending.append((slots, facts or {}, huts or {}, result))
         self.some.set()
@@ -102,7 +106,9 @@
             self.base.execute("begin immediate")
             for slots, facts, huts, _ in batch:
                 self.base.executemany("insert or replace into slots values (?, ?, ?, ?, ?, ?)", [
-                    (key, *slot.promised, *slot.accepted, slot.value) for key, slot in slots.items()])
+                    (key, *slot.promised, *slot.accepted, slot.value) for key, slot in slots.items() if slot])
+                self.base.executemany("delete from slots where key = ?",
+                                      [(key,) for key, slot in slots.items() if not slot])
                 self.base.executemany("insert or replace into facts values (?, ?)", facts.items())
                 self.base.executemany("insert or replace into huts values (?, ?)", huts.items())
                 self.base.executemany("delete from huts where id = ?", [(id,) for id in huts if not huts[id]])
--- a/flintreach/cairn/voters.py
+++ b/flintreach/cairn/voters.py
@@ -10,6 +10,9 @@
 from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
+PACK, UNPACK = msgspec.msgpack.encode, msgspec.msgpack.decode
 Address = tuple[str, int]
 
 
@@ -30,6 +33,20 @@
     def row(self) -> list[Any]:
         return [self.epoch, *([[*address, life] for address, life in one] for one in (self.old, self.new))]
 
+    @classmethod
+    def kept(cls, facts: dict[str, str]) -> "Voters":
+        """What a disk holds: its latest configuration, or the list that earlier texts kept, as epoch 1."""
+        if "voters" in facts:
+            return cls.of(UNPACK(bytes.fromhex(facts["voters"])))
+        if circle := facts.get("circle"):
+            rows = [place.rpartition(":") for place in circle.split(",")]
+            return cls(1, tuple(sorted(((ip, int(port)), "") for ip, _, port in rows)))
+        return cls()
+
+    def fact(self) -> dict[str, str]:
+        """As `kept` reads it from the disk."""
+        return {"voters": PACK(self.row()).hex()}
+
     @property
     def sets(self) -> list[set[Address]]:
         """One set of addresses, or two while they change."""
@@ -43,6 +60,16 @@
         """All that vote, in either set."""
         return sorted(set().union(*self.sets))
 
+    def lives(self, address: Address) -> set[str]:
+        """Lives recorded for an address: none where it doesn't vote."""
+        return {life for one in (self.old, self.new) for who, life in one if who == address}
+
+    def renewed(self, address: Address, life: str) -> "Voters":
+        """The next configuration with the same voters, one of whose disks is another."""
+        sets = (tuple((who, life if who == address else held) for who, held in one)
+                for one in (self.old, self.new))
+        return Voters(self.epoch + 1, *sets)
+
     def met(self, heard) -> bool:
         """Whether these addresses are a quorum: a majority of each set.  Nobody is one of an empty set.
 
@@ -51,3 +78,10 @@
         """
         heard = set(heard)
         return bool(self.sets) and all(len(heard & one) > len(one) // 2 for one in self.sets)
+
+    def covered(self, address: Address, heard) -> bool:
+        """Whether these others know all that a lost disk of `address` may have promised: in each set that it
+        is in, any `size - majority + 1` others have a member of every majority that it was part of."""
+        heard = set(heard) - {address}
+        return all(len(heard & one) >= min(len(one) - 1, len(one) - len(one) // 2)
+                   for one in self.sets if address in one)
--- a/flintreach/refuge/endpoints.py
+++ b/flintreach/refuge/endpoints.py
@@ -66,8 +66,10 @@
     def on_leave(self, link, id) -> bool | None:
         return self.offer(self.book.leave(id, self.host.now_ns())) or None
 
-    def on_book(self, link, body):
+    def on_book(self, link, epoch):
         """What this refuge knows of endpoints, for one that starts; one that lost its disk knows nothing."""
+        if late := self.plane.register.check(epoch):
+            return late
         if not self.plane.register.votes():
             return None
         now = self.host.now_ns()
@@ -82,13 +84,25 @@
                 self.kept -= old.keys()
             self.kept |= self.book.records.keys()
 
-    def begin(self) -> None:
-        """Before others may call: what a majority knows of endpoints."""
-        need, plane = self.plane.enough() - 1, self.plane
-        now, others = self.host.now_ns(), [a for a in plane.group if a != plane.bundle.address]
-        for _, rows in plane.bundle.gather(others, "book", None, lambda got: len(got) >= need, 0.5):
+    def gathered(self) -> bool:
+        """Whether all that a quorum of the voters knows of endpoints is known here too."""
+        register, now = self.plane.register, self.host.now_ns()
+        answers = register.quorum("book", register.voters.epoch, 0.5)
+        if answers is None:
+            return False
+        for rows in answers.values():
             for row in rows:
                 self.book.restore(row, now)
+        return True
+
+    def collect(self) -> bool:
+        """Whether all that a quorum of the voters knows of endpoints is on this disk too."""
+        return self.gathered() and self.offer([*self.book.records])
+
+    def begin(self) -> None:
+        """Before others may call: what a quorum knows of endpoints."""
+        while not self.gathered():
+            self.host.sleep(0.05)
         self.offer([*self.book.records])
 
     def heard_of(self, id: str, version, value) -> None:
--- a/flintreach/refuge/plane.py
+++ b/flintreach/refuge/plane.py
@@ -31,9 +31,7 @@
         self.seeds, self.on_begin = seeds, on_begin
         self.first_run = node.sender.first_run
         self.board = Board()
-        kept = store.facts.get("voters") if store else None
-        voters = Voters.of(msgspec.msgpack.decode(bytes.fromhex(kept))) if kept else Voters()
-        self.register = Register(bundle, voters, store)
+        self.register = Register(bundle, Voters.kept(store.facts if store else {}), store)
         self.serving = False
         self.routes: Routes | None = None
         self.endpoints = Endpoints(self, node.carrier.report_ms)
@@ -58,8 +56,10 @@
         return sorted(found - {me})
 
     def enough(self) -> int:
-        """Refuges that must know, this one among them, so that no loss within bounds takes it from all."""
-        return len(self.group) // 2 + 1
+        """Voters that must know, this one among them, so that no loss within bounds takes it from all: so
+        many are a quorum whichever they are."""
+        sets = self.register.voters.sets
+        return max((len(self.group) - len(one) + len(one) // 2 + 1 for one in sets), default=1)
 
     def news_age(self) -> float:
         """Seconds since this refuge surely knew what stands; a day before its start is over."""
@@ -108,6 +108,8 @@
             return [{"line": line, "from": low, "to": high, "holder": holder, "state": state}
                     for line, rows in sorted(self.board.under("bunks/").items())
                     for low, high, holder, state in rows]
+        if what == "voters":
+            return self.care.voting.rows()
         if what == "status":
             return [{"node": self.node.sender.node_name, "ready": self.serving,
                      "edition": f"{self.routes.number:08x}" if self.routes else "",
--- a/flintreach/refuge/program.py
+++ b/flintreach/refuge/program.py
@@ -32,7 +32,7 @@
         store = Store(me.store_dir, me.node_name, me.first_run) if me.store_dir else None
         member = Member(me.node_name, ROLE, *address, me.zone, me.region, dict(node.network.posts),
                         me.counted, False, int(time.time() * 1000))
-        self.lookout = Lookout(member, self.seeds)
+        self.lookout = Lookout(member, self.known)
         self.plane = ControlPlane(node, self.bundle, store, self.lookout.roster, self.seeds, self.begin)
         self.bundle.handlers["show"] = lambda link, what: self.plane.show(what)
         self.servers, self.stopping = [], Event()
@@ -40,6 +40,10 @@
     def seeds(self) -> list[tuple[str, int]]:
         return sorted({(ip, self.bundle.address[1]) for ip in self.node.seeds()})
 
+    def known(self) -> list[tuple[str, int]]:
+        """Where to join: the seeds may all have left, and the disk remembers who votes."""
+        return sorted({*self.seeds(), *self.plane.register.voters.members()})
+
     def begin(self) -> None:
         self.lookout.change(ready=True)
         for post, names in SERVED:
@@ -57,6 +61,7 @@
         gevent.spawn(settings.watch, self.reread, gevent.sleep)
         self.plane.start()
         self.stopping.wait()
+        self.plane.care.voting.leave()
         self.lookout.change(state=3)
         say("stopped")
         return 0
--- a/flintreach/rope/bundle.py
+++ b/flintreach/rope/bundle.py
@@ -49,16 +49,17 @@
             return None
 
     def gather(self, addresses: list[tuple[str, int]], kind: str, body: Any, enough: Callable[[list], bool],
-               timeout: float = 1.0) -> list:
+               timeout: float = 1.0, ask: Callable | None = None) -> list:
         """Answers of several, in the order of arrival, until `enough(answers)` holds or time is up.
 
-        `body`: what is said, or a function of the address that gives it.
+        `body`: what is said, or a function of the address that gives it; `ask`: by what, if not by
+        `self.ask`.
         """
         answers, done, left = [], self.host.event(), len(addresses)
 
         def one(address):
             nonlocal left
-            answer = self.ask(address, kind, body(address) if callable(body) else body, timeout)
+            answer = (ask or self.ask)(address, kind, body(address) if callable(body) else body, timeout)
             left -= 1
             if answer is not None:
                 answers.append((address, answer))
--- a/flintreach/waymark/desk.py
+++ b/flintreach/waymark/desk.py
@@ -9,7 +9,7 @@
 
 import typer
 
-VIEWS = ("status", "members", "endpoints", "tables", "keys")
+VIEWS = ("status", "members", "endpoints", "tables", "keys", "voters")
 
 
 def fail(status: int, text: str) -> None:
@@ -84,7 +84,7 @@
     @app.command()
     def show(view: str, inner: str = typer.Option(..., "--at", help="A refuge's address for other pilots."),
              as_json: bool = typer.Option(False, "--json", help="Rows as JSON.")) -> None:
-        """Look at a running refuge: status, members, endpoints, tables or keys."""
+        """Look at a running refuge: status, members, endpoints, tables, keys or voters."""
         from flintreach.rope.bundle import Bundle
 
         if view not in VIEWS:
@@ -128,6 +128,34 @@
         if as_json:
             typer.echo(json.dumps(found))
 
+    @app.command()
+    def voters(inner: str = typer.Option(..., "--at", help="A refuge's address for other pilots."),
+               out: str = typer.Option(None, "--out", help="The voter to leave out, by its inner address."),
+               into: str = typer.Option(None, "--in", help="A caught-up disk to take in instead.")) -> None:
+        """Exchange, leave out or take in a voter of the register; `show voters` tells who votes."""
+        from flintreach.rope.bundle import Bundle
+
+        order = [list(place(text)) if text else None for text in (out, into)]
+        said = Bundle(("127.0.0.1", 0)).ask(place(inner), "replace", order, 6.0)
+        if said != "":
+            fail(1, f"{inner}: {'no answer' if said is None else said}")
+
+    @app.command()
+    def rescue(folder: Path, epoch: int = typer.Option(..., help="The epoch that is given up."),
+               address: str = typer.Option(..., help="This refuge's inner address."),
+               confirm: str = typer.Option("", help="The word that is asked for.")) -> None:
+        """Last resort after more losses than allowed: the disk of a stopped refuge becomes the only voter."""
+        from flintreach.cairn.rescue import CONFIRM, alone
+        from flintreach.cairn.store import StoreError
+
+        if confirm != CONFIRM:
+            fail(2, f"all that this disk does not hold will be lost: say so by --confirm {CONFIRM}")
+        try:
+            after = alone(str(folder), epoch, place(address))
+        except StoreError as error:
+            fail(2, str(error))
+        typer.echo(f"{folder}: the only voter, epoch {after.epoch}")
+
     @app.command()
     def evacuate(zone: str, control: str = at,
                  finish: bool = typer.Option(False, "--finish", help="Take it back.")) -> None:
--- a/tests/test_system_carrying.py
+++ b/tests/test_system_carrying.py
@@ -16,6 +16,7 @@
 from flintreach.bothy.gate import FIRST, Gate
 from flintreach.bothy.reply import Message
 from flintreach.bothy.world import World
+from flintreach.cairn.voters import Voters
 from flintreach.refuge.care import Care
 from flintreach.refuge.placing import TTL, Placing
 from flintreach.trail.board import Board
@@ -231,7 +232,8 @@
 
         circle = [(f"10.0.0.{i}", 7) for i in range(5)]
         bundle = SimpleNamespace(address=circle[0], heard={})
-        care = SimpleNamespace(plane=SimpleNamespace(group=circle, bundle=bundle, enough=lambda: 3))
+        voters = Voters(1, tuple((address, "") for address in circle))
+        care = SimpleNamespace(plane=SimpleNamespace(bundle=bundle, register=SimpleNamespace(voters=voters)))
         self.assertLess(Care.touched(care), 0)
         bundle.heard = {circle[1]: 50.0}
         self.assertLess(Care.touched(care), 0)
--- a/tests/test_system_parts.py
+++ b/tests/test_system_parts.py
@@ -27,8 +27,8 @@
 from flintreach.bothy.reply import HTTPParseError, Replies
 from flintreach.bunks import plan
 from flintreach.bunks.plan import FREE, HELD, KEYS, LEAVING, Allocation, Heat
-from flintreach.cairn import circle
-from flintreach.cairn.acceptor import Acceptor
+from flintreach.cairn import wanted as wishes
+from flintreach.cairn.acceptor import Acceptor, merged
 from flintreach.cairn.proposer import Change
 from flintreach.cairn.register import Register as Register_
 from flintreach.cairn.voters import Voters
@@ -42,6 +42,11 @@
 from flintreach.waymark import settings, timetable
 
 
+def most(size):
+    """A quorum by count, of disks known by name."""
+    return lambda who: len({*who}) > size // 2
+
+
 class Disks:
     """Acceptors by name; `drop` loses messages, `wipe` a disk."""
 
@@ -67,13 +72,12 @@
             change.turned_down(slot.promised)
 
     def wipe(self, name, others):
-        size = len(self.disks)
         disk = self.disks[name] = Acceptor(f"again-{name}", False)
-        held = [self.disks[other].slots for other in others if self.disks[other].voting]
-        found = disk.relearn(held, size - 1, size)
-        if found is not None:
-            disk.slots, disk.voting = found, True
-        return found is not None
+        held = {(other, 0): self.disks[other].slots for other in others if self.disks[other].voting}
+        enough = Voters(1, tuple(((other, 0), "") for other in self.disks)).covered((name, 0), held)
+        if enough:
+            disk.slots, disk.voting = merged([*held.values()]), True
+        return enough
 
 
 def added(old):
@@ -87,7 +91,7 @@
         for order in orders:
             for reach in (("d0", "d1"), ("d1", "d2"), ("d0", "d2")):
                 disks = Disks(3)
-                writers = {"a": Change(3, (1, "a"), added), "b": Change(3, (2, "b"), added)}
+                writers = {"a": Change(most(3), (1, "a"), added), "b": Change(most(3), (2, "b"), added)}
                 turn = {"a": 0, "b": 0}
                 for who in order:
                     change, at = writers[who], turn[who]
@@ -100,7 +104,7 @@
                 done = [change for change in writers.values() if change.state == "done"]
                 longest = max((len(change.value) for change in done), default=0)
                 self.assertGreaterEqual(longest, len(done), order)  # one that is not done may stand too
-                reader = Change(3, (9, "r"), lambda old: None)
+                reader = Change(most(3), (9, "r"), lambda old: None)
                 for name in disks.disks:
                     disks.prepare(reader, name)
                 self.assertGreaterEqual(len(reader.value or b""), longest)
@@ -110,11 +114,11 @@
     def test_a_promise_of_a_lost_disk_does_not_count(self):
         """The trace of a lost update: d0 promises, is wiped and relearns, and is told to accept."""
         disks = Disks(3)
-        first = Change(3, (5, "a"), added)
+        first = Change(most(3), (5, "a"), added)
         disks.prepare(first, "d0")
         self.assertTrue(disks.wipe("d0", ["d1", "d2"]))
         disks.prepare(first, "d1")
-        second = Change(3, (4, "b"), added)
+        second = Change(most(3), (4, "b"), added)
         disks.prepare(second, "d0")
         disks.prepare(second, "d2")
         disks.accept(second, "d0")
@@ -126,7 +130,7 @@
 
     def test_an_empty_disk_is_mute_until_it_knows(self):
         disks = Disks(3)
-        change = Change(3, (1, "a"), added)
+        change = Change(most(3), (1, "a"), added)
         for name in ("d0", "d1"):
             disks.prepare(change, name)
         for name in ("d0", "d1"):
@@ -138,11 +142,11 @@
 
     def test_what_a_minority_holds_is_told_again_before_it_is_answered(self):
         disks = Disks(3)
-        change = Change(3, (1, "a"), added)
+        change = Change(most(3), (1, "a"), added)
         disks.prepare(change, "d0")
         disks.prepare(change, "d1")
         disks.accept(change, "d0")  # and the writer dies
-        reader = Change(3, (2, "r"), lambda old: None)
+        reader = Change(most(3), (2, "r"), lambda old: None)
         disks.prepare(reader, "d0")
         disks.prepare(reader, "d2")
         self.assertEqual(reader.state, "accept")
@@ -155,12 +159,12 @@
         class Quiet:
             address, handlers, host = ("10.0.0.1", 7), {}, Host()
 
-            def gather(self, group, kind, body, enough, timeout):
+            def gather(self, group, kind, body, enough, timeout, ask):
                 if kind == "prepare":
                     return enough([(address, ["promise", slot, "old"]) for address in group])
                 register.lives |= dict.fromkeys(register.lives, "new")  # another change, in between
-                sent.extend(body(address)[-1] for address in group)
-                return enough([(address, ["accepted", slot]) for address in group])
+                sent.extend(body(address)[-2] for address in group)
+                return enough([(address, ["accepted", slot, "old"]) for address in group])
 
         register = Register_(Quiet(), Voters(1, ((("10.0.0.1", 7), ""), (("10.0.0.2", 7), ""))), None)
         self.assertEqual(register.change("k", added), (True, b"x"))
@@ -168,19 +172,29 @@
 
 
 class Circle(unittest.TestCase):
+    def disks(self, zones, each):
+        return [wishes.Disk((f"10.0.{z}.{i}", 7), f"z{z}", "r") for z in range(zones) for i in range(each)]
+
+    def first(self, disks, losses, calm):
+        found = wishes.first(disks, losses, calm)
+        return found and found.members()
+
     def test_zones_take_turns_and_the_number_is_bounded(self):
-        disks = [((f"10.0.{z}.{i}", 7), f"z{z}") for z in range(3) for i in range(5)]
-        found = circle.proposed(disks)
-        self.assertEqual(len(found), circle.MOST)
+        disks, losses = self.disks(3, 5), wishes.Losses(1, 1)
+        found = self.first(disks, losses, 1.0)
+        self.assertEqual(len(found), wishes.MOST)
         self.assertEqual({ip.split(".")[2] for ip, _ in found}, {"0", "1", "2"})
-        self.assertEqual(circle.proposed(disks[::-1]), found)
-        self.assertEqual(circle.proposed(disks[:1]), [("10.0.0.0", 7)])
+        self.assertEqual(self.first(disks[::-1], losses, 1.0), found)
+        self.assertEqual(self.first(disks[:1], wishes.Losses(), 1.0), [("10.0.0.0", 7)])
 
     def test_a_first_start_waits_for_disks_that_come_but_not_for_ever(self):
-        self.assertFalse(circle.settled(0, 0, 9, 0.6, 2.5, 0))
-        self.assertFalse(circle.settled(3, 1.0, 1.5, 0.6, 2.5, 0))
-        self.assertTrue(circle.settled(3, 1.0, 1.6, 0.6, 2.5, 0))
-        self.assertTrue(circle.settled(3, 2.4, 2.5, 0.6, 2.5, 0))
+        """(disks, losses, seconds without a new one, how many are to vote: 0 while more are waited for)"""
+        one, two = wishes.Losses(1, 1), wishes.Losses(2, 1)
+        for count, losses, calm, votes in (
+                (0, one, 9.0, 0), (3, one, 0.5, 0), (3, one, 0.6, 3), (2, one, 2.5, 0), (2, one, 6.0, 2),
+                (3, two, 2.5, 0), (4, two, 5.9, 0), (4, two, 6.0, 4), (5, two, 0.6, 5)):
+            found = self.first(self.disks(count, 1), losses, calm)
+            self.assertEqual(len(found or ()), votes, (count, losses, calm))
 
 
 class Hutbook(unittest.TestCase):
