--- a/flintreach/refuge/voting.py
+++ b/flintreach/refuge/voting.py
@@ -23,7 +23,7 @@
         self.leaving: dict[Address, float] = {}  # until when it counts as one that leaves
         self.seen: frozenset[Address] = frozenset()  # disks that are alive
         self.seen_at = self.due_at = self.began
-        self.due, self.copy_at, self.wish = -1, 0.0, None
+        self.due, self.told, self.copy_at, self.wish = -1, -1, 0.0, None
         plane.bundle.handlers |= {"leaving": self.on_leaving, "replace": self.on_replace}
 
     @property
@@ -91,6 +91,7 @@
 
     def tell(self) -> None:
         voters = self.register.voters
+        self.told = voters.epoch
         say("voters", epoch=voters.epoch, votes=self.register.votes(),
             sets=[[f"{ip}:{port}" for ip, port in sorted(one)] for one in voters.sets])
 
@@ -100,9 +101,8 @@
         while True:
             self.host.sleep(TICK_S)
             if self.register.voters.epoch:
-                held = self.register.voters
                 self.turn()
-                if self.register.voters.epoch != held.epoch and not self.register.voters.joint:
+                if self.register.voters.epoch != self.told and not self.register.voters.joint:
                     self.tell()
 
     def turn(self) -> None:
