A voter that is told dead is asked before it is replaced

Change: with the spares, voters that the roster has as dead are asked too (0.3 s); one that answers is alive. Tests: Deaths, fails without the change.

--- a/flintreach/refuge/voting.py
+++ b/flintreach/refuge/voting.py
@@ -49,18 +49,21 @@
         return found
 
     def asked(self, disks: dict[Address, Disk], outside: bool = True) -> list[Disk]:
-        """The same with what those that don't vote (or all that are alive) tell of themselves."""
-        register = self.register
-        others = [a for a, disk in disks.items() if disk.alive and not (outside and a in register.group)]
+        """The same with what those that don't vote (or all that are alive) tell of themselves. A voter that
+        is told dead is asked as well: news of a death may be wrong, and one that answers must not be
+        replaced."""
+        register, group = self.register, self.register.group
+        others = [a for a, disk in disks.items() if not disk.leaving and (
+            not disk.alive if outside and a in group else disk.alive)]
         answers = register.gather(others, "disk", register.voters.epoch if outside else None,
-                                  lambda got: len(got) == len(others), 0.5)
+                                  lambda got: len(got) == len(others), 0.3)
         told = {address: answer for address, answer in answers if answer}
         return [self.with_word(disk, *told[address]) if address in told else disk
                 for address, disk in disks.items()]
 
     @staticmethod
     def with_word(disk: Disk, life: str, caught: bool) -> Disk:
-        return Disk(disk.address, disk.zone, disk.region, life, disk.alive, disk.leaving, caught)
+        return Disk(disk.address, disk.zone, disk.region, life, True, disk.leaving, caught)
 
     # A first start.
 
--- a/tests/test_system_voters.py
+++ b/tests/test_system_voters.py
@@ -439,6 +439,22 @@
         self.assertEqual(Voters.kept(plane.register.store.facts).members(), [at(n) for n in "abc"])
 
 
+class Deaths(unittest.TestCase):
+    def test_a_voter_that_is_told_dead_and_answers_is_not_replaced(self):
+        """A grown day: news of a death that was none, and a living voter was exchanged for a spare."""
+        for silent in (False, True):
+            net = Net("abcd", "abc")
+            plane = Starts().plane(net, "a", [(0, name, zone) for name, zone in zip("abcd", "xyzz")])
+            plane.roster = SimpleNamespace(members={
+                name: SimpleNamespace(**(vars(m) | {"state": 2 if name == "c" else 0}))
+                for name, m in plane.roster.members.items()})
+            self.assertTrue(net.turnovers["d"].catch_up())
+            if silent:
+                net.down.add(at("c"))
+            Voting(plane).turn()
+            self.assertEqual(net.registers["a"].voters, voters(3, "abd") if silent else voters(1, "abc"))
+
+
 class Folder(unittest.TestCase):
     def setUp(self):
         self.folder = Path(tempfile.mkdtemp())
