--- a/tests/test_system_voters.py
+++ b/tests/test_system_voters.py
@@ -120,22 +120,6 @@
         return ["behind"] if epoch > self.voters.epoch else None
 
 
-class Unchecked(Register):
-    """Planted: no look at the epoch in an accept."""
-
-    blind = False
-
-    def check(self, epoch):
-        return None if self.blind else super().check(epoch)
-
-    def on_accept(self, link, body):
-        self.blind = True
-        try:
-            return super().on_accept(link, body)
-        finally:
-            self.blind = False
-
-
 class Forgetful(Register):
     """Planted: a disk that came back empty votes at once."""
 
