--- a/flintreach/refuge/mesh.py
+++ b/flintreach/refuge/mesh.py
@@ -1,13 +1,10 @@
 """News among the refuges: each follows the boards of all others, and asks them for marks (see `contact`)."""
 
-import msgspec
-
 from flintreach.refuge.contact import KEYS
 from flintreach.rope.link import Closed
-from flintreach.trail.relay import MARK, Follow
+from flintreach.trail.relay import ASK_S, MARK, Follow
 
 LOOK_S = 0.3  # seconds between looks for refuges
-UNPACK = msgspec.msgpack.decode
 
 
 class Mesh:
@@ -15,7 +12,7 @@
         self.plane, self.host = plane, plane.host
         self.followed: set = set()
         self.sought: set[str] = set()  # keys of which something unlearned is being looked for
-        plane.bundle.handlers["contact"] = self.on_mark
+        plane.bundle.handlers["accepted"] = self.on_mark
 
     def run(self) -> None:
         me = self.plane.bundle.address
@@ -25,17 +22,17 @@
                     self.followed.add(address)
                     self.host.spawn(self.follow, address)
             now = self.host.now()
-            self.take(me, now, self.on_mark(None, None))
+            self.marked(me, now, self.on_mark(None, None))
             self.host.sleep(LOOK_S if self.plane.serving else LOOK_S / 6)
 
     def follow(self, address) -> None:
-        follow = Follow(self.host, self.plane.board, address, self.take_news)
+        follow = Follow(self.host, self.plane.board, address, self.take)
         try:
             follow.begin()
             while True:
                 # On the link that brings the news: one on which nothing comes any more is noticed by this.
                 asked = self.host.now()
-                self.take(address, asked, follow.link.ask("contact", None, 1.0))
+                self.marked(address, asked, follow.link.ask("accepted", None, ASK_S))
                 self.host.sleep(MARK)
         except (OSError, Closed, TypeError, ValueError):
             self.host.sleep(LOOK_S if self.plane.news_age() < 1.0 else LOOK_S / 3)
@@ -43,7 +40,7 @@
             follow.close()
             self.followed.discard(address)
 
-    def take_news(self, rows) -> None:
+    def take(self, rows) -> None:
         for row in rows:
             self.hear(*row)
 
@@ -63,7 +60,7 @@
         slots = register.acceptor.slots
         return {key: list(slots[key].accepted) for key in KEYS if key in slots}
 
-    def take(self, address, asked: float, told) -> None:
+    def marked(self, address, asked: float, told) -> None:
         if told is None:
             return
         contact = self.plane.contact
--- a/tests/test_system_orders.py
+++ b/tests/test_system_orders.py
@@ -20,7 +20,7 @@
 from flintreach.cairn.voters import Voters
 from flintreach.lookout.roster import ALIVE, DEAD, SUSPECTED, Member, Roster
 from flintreach.lookout.roster import LEFT as LEFT_
-from flintreach.refuge import contact, mesh
+from flintreach.refuge import contact
 from flintreach.refuge.care import Care
 from flintreach.refuge.contact import AFTER_S, GAP_S, NEVER, PATIENCE_S, Awake, Contact
 from flintreach.refuge.control import ALONE, GONE, LARGE, LEFT, SLEPT, SMALL, TIMED, Control, Handler
@@ -30,6 +30,7 @@
 from flintreach.refuge.plane import ControlPlane
 from flintreach.rope import link
 from flintreach.rope.bundle import Bundle
+from flintreach.trail import relay
 from flintreach.trail.board import Board
 from flintreach.waymark import calls, settings, timetable
 from flintreach.waymark.timetable import AGAIN, FORGOTTEN, KEPT, OTHER, OVERTAKEN, TAKEN, Standing
@@ -179,7 +180,7 @@
 
     def sleep(self, seconds):
         self.world.now += seconds
-        for _ in range(1 + int(seconds / 0.01)):  # a message is a turn of some 10 ms: who waits lets others go
+        for _ in range(1 + int(seconds / 0.01)):  # a message is a turn of 10 ms: who waits lets others go
             self.world.turn()
 
     def lock(self):
@@ -634,7 +635,7 @@
         """Node `at` asks others, and itself, for marks, as its mesh does."""
         me = world.nodes[at]
         for node in (me, *(world.nodes[other] for other in others)):
-            me.mesh.take(node.address, world.now, node.mesh.on_mark(None, None))
+            me.mesh.marked(node.address, world.now, node.mesh.on_mark(None, None))
         return me.contact.age(world.voters, world.now)
 
     def test_what_a_refuge_confirmed_before_it_died_is_learned_by_the_next_marks(self):
@@ -727,7 +728,7 @@
         node.mesh.followed.add(PEERS[0])
         node.mesh.follow(PEERS[0])
         self.assertEqual((closed, node.mesh.followed), ([True], set()))
-        self.assertAlmostEqual(node.contact.asked[PEERS[0]], 100.8 + mesh.MARK, msg="the last one's asking")
+        self.assertAlmostEqual(node.contact.asked[PEERS[0]], 100.8 + relay.MARK, msg="the last one's asking")
         self.assertGreater(world.now, 102.4)
 
 
