--- a/flintreach/standins/simulated_callers.py
+++ b/flintreach/standins/simulated_callers.py
@@ -1,4 +1,4 @@
-"""Who calls a simulated site: operators, endpoints, readers, clients of the directory; tasks outside of it."""
+"""Who calls a simulated site: operators, endpoints, readers, clients of the directory."""
 
 import msgspec
 
--- a/flintreach/standins/simulated_site.py
+++ b/flintreach/standins/simulated_site.py
@@ -49,7 +49,8 @@
     """How large a site is and what it may lose: drawn from the seed, or by `refuges`."""
 
     ROWS = (  # refuges, zones, regions, machines and zones that may be lost at once
-        (3, 3, 1, 1, 1), (3, 3, 2, 1, 1), (3, 1, 1, 1, 0), (4, 2, 2, 1, 0), (5, 3, 2, 2, 0), (5, 5, 2, 2, 1))
+        (3, 3, 1, 1, 1), (3, 3, 2, 1, 1), (3, 1, 1, 1, 0), (4, 2, 2, 1, 0), (5, 3, 2, 2, 0), (5, 5, 2, 2, 1),
+        (6, 3, 2, 2, 1))
 
     def __init__(self, chance, refuges: int | None = None):
         rows = [row for row in self.ROWS if refuges in (None, row[0])]
@@ -151,6 +152,7 @@
         self.lost_answers = sim.chance.choice((0.0, 0.02, 0.08))
         self.disks: dict[str, Disk] = {}
         self.ghosts: list = []
+        self.gone: list[str] = []
         self.refuges: dict[str, Machine] = {}
         self.bothies: dict[str, Machine] = {}
         self.endpoints: dict[str, SimpleNamespace] = {}  # address -> who is there now
@@ -223,12 +225,16 @@
         """For good, with its disk."""
         self.end(machine, power=True)
         self.bury(machine)
+        self.gone.append(machine.ip)
         del self.refuges[machine.ip], self.disks[machine.ip]
 
     def choose_seeds(self, chance) -> None:
         """Some of the machines that the operator's list has, the newest too."""
-        there = [*self.refuges.values()]
-        self.seeds = [f"{m.ip}:8166" for m in chance.sample(there, min(3, len(there)))]
+        there = [*self.refuges]
+        chosen = chance.sample(there, min(3, len(there)))
+        if self.gone and chance.random() < 0.3:
+            chosen[-1] = chance.choice(self.gone)  # the list lags
+        self.seeds = [f"{ip}:8166" for ip in chosen]
 
     def crashed(self, text: str) -> None:
         self.watch.broke("crash", f"a task ended by an exception:\n{text}")
--- a/flintreach/standins/simulated_trial.py
+++ b/flintreach/standins/simulated_trial.py
@@ -53,6 +53,12 @@
         shape = self.site.shape
         return len(lost) <= shape.machines or len({m.zone for m in lost}) <= shape.zones
 
+    def may_zone(self, zone: str) -> bool:
+        """Whether a whole zone may go now, and all of it is there."""
+        there = [m for m in self.site.refuges.values() if m.zone == zone]
+        return (self.site.shape.zones > 0 and not self.counted()
+                and all(m.process is not None and m.process.alive for m in there))
+
     def take(self, machine) -> None:
         self.lost[machine] = None
         self.watch.trouble(1)
@@ -80,6 +86,10 @@
         if chance.random() < 0.12:
             self.harmless()
             return
+        zone = chance.choice([*self.site.shape.places])
+        if chance.random() < 0.15 and self.may_zone(zone):
+            self.zone(zone)
+            return
         ready = [m for m in self.site.refuges.values() if m not in self.counted() and self.may(m)
                  and m.process is not None and m.process.alive]
         if ready:
@@ -90,7 +100,11 @@
             self.take(machine)
             getattr(self, kind)(machine)
 
+    spans: list = []  # of a zone's machines, that go and come together
+
     def span(self) -> int:
+        if self.spans:
+            return self.spans[0]
         low, high = self.chance.choice(((0.05, 0.6), (0.6, 2.0), (2, 6), (6, 9), (20, 20)))
         return int(self.chance.uniform(low, high) * SECOND)
 
@@ -202,6 +216,28 @@
         else:
             leave()
 
+    def zone(self, zone: str) -> None:
+        """A zone goes as a whole, for one time."""
+        there, span = [m for m in self.site.refuges.values() if m.zone == zone], self.span()
+        kind = self.chance.choice(("power", "freeze", "zone_cut"))
+        self.note(None, f"{zone} goes: {kind}")
+        self.spans = [span] * len(there)
+        inside = {m.ip for m in self.site.network.machines.values() if m.zone == zone}
+        pairs = [(a, b) for a in sorted(inside) for b in self.site.network.machines
+                 if b not in inside and b != self.site.outside.machine.ip]
+        for machine in there:
+            self.take(machine)
+            if kind == "zone_cut":
+                continue
+            getattr(self, kind)(machine)
+        self.spans = []
+        if kind == "zone_cut":
+            pairs += [(b, a) for a, b in pairs]
+            self.site.network.cut(pairs)
+            self.later(there[0], span, self.heal, there[0], pairs)
+            for machine in there[1:]:
+                self.later(machine, span, lambda: None)
+
     def harmless(self) -> None:
         """What costs no machine: steps of the time of day, exchanged seeds, bothies that go."""
         chance, site = self.chance, self.site
@@ -291,7 +327,7 @@
 
 
 def play(seed: int, refuges: int | None = None, on=tuple(INVARIANTS), kept: int = 40) -> Outcome:
-    """One trial.  `refuges`: how many, None: drawn; `on`: invariants that end it; `kept`: events of a trace."""
+    """One trial.  `refuges`: how many, None: drawn; `on`: invariants that end it; `kept`: events kept."""
     sim = Simulation(seed, kept)
     with played(sim):
         outcome = Outcome(seed, f" --nodes {refuges}" if refuges else "")
@@ -316,7 +352,7 @@
     chance, began = random.Random(sim.chance.getrandbits(64)), sim.now
     faults, callers = Faults(site, watch), Callers(site, watch)
     shape = site.shape
-    sim.note("site", f"{shape.refuges} refuges, {len(shape.places)} zones, may lose {shape.machines} machines "
+    sim.note("site", f"{shape.refuges} refuges, {len(shape.places)} zones, loses {shape.machines} machines "
                      f"or {shape.zones} zones; report {shape.report_ms} ms")
     slow = chance.choice([*site.refuges.values()]) if chance.random() < 0.2 else None
     for machine in [*site.refuges.values(), *site.bothies.values()]:
--- a/flintreach/standins/simulated_watch.py
+++ b/flintreach/standins/simulated_watch.py
@@ -287,7 +287,7 @@
     def directions(self, refuge, status: int) -> None:
         alone = self.sim.now - self.met.get(refuge, self.sim.now)
         if status == 200 and alone > STALE:
-            self.broke("stale", f"{refuge.name} answers directions {alone / SECOND:.1f} s after its last contact")
+            self.broke("stale", f"{refuge.name} answers directions, alone for {alone / SECOND:.1f} s")
         elif 400 <= status < 500:
             self.broke("answered", f"directions: {status} from {refuge.name}")
 
@@ -339,4 +339,4 @@
         rules.append({"name": "k", "kind": "safe", "sorting": {"postcode": "/k/"},
                       "dispatch": {"line": "keyed", "deadline_ms": 3000, "tries": 2}})
     wickets = [{"destination": "a.example", "regulations": rules}]
-    return msgspec.json.encode({"edition": f"{number:08x}", "limits": {}, "wickets": wickets, "depots": depots})
+    return msgspec.json.encode({"edition": f"{number:08x}", "wickets": wickets, "depots": depots})
