--- a/flintreach/standins/simulated.py
+++ b/flintreach/standins/simulated.py
@@ -591,7 +591,8 @@
         self.process, self.disk, self.pending, self.writing = process, disk, [], None
         if not disk.facts:
             life = f"{disk.sim.chance.getrandbits(48):012x}"
-            disk.facts = {"format": "1", "node": node, "life": life, "voting": "1" if first_run else "0"}
+            whole = "1" if first_run else "0"
+            disk.facts = {"format": "1", "node": node, "life": life, "voting": whole, "books": whole}
         self.slots = {key: Slot(s.promised, s.accepted, s.value) for key, s in disk.slots.items()}
         self.facts, self.huts = {**disk.facts}, {**disk.huts}
         self.life, self.voting = self.facts["life"], self.facts["voting"] == "1"
--- a/flintreach/standins/simulated_site.py
+++ b/flintreach/standins/simulated_site.py
@@ -8,6 +8,7 @@
 from types import SimpleNamespace
 
 import msgspec
+from gevent.pywsgi import Input
 
 from flintreach.bothy.program import ROLE as BOTHY
 from flintreach.bunks.keeping import GRANT
@@ -17,6 +18,7 @@
 from flintreach.refuge import keys
 from flintreach.refuge.care import ROLE
 from flintreach.refuge.control import Control
+from flintreach.refuge.endpoints import Endpoints
 from flintreach.refuge.plane import ControlPlane
 from flintreach.refuge.program import SERVED
 from flintreach.rope.bundle import Bundle
@@ -107,6 +109,11 @@
         self.store.end()
 
 
+def board(host) -> Board:
+    """Boards that forget need a clock."""
+    return Board(host.now) if Board.__init__.__code__.co_argcount > 1 else Board()
+
+
 class Bothy(Process):
     """What a bothy is to the news: a child of two parents, with a board.  It takes no requests."""
 
@@ -118,7 +125,7 @@
         member = Member(me.node_name, BOTHY, *self.bundle.address, me.zone, me.region,
                         dict(self.node.network.posts), me.counted, True, machine.wall_ms())
         self.lookout = Sightings(self, member, lambda: [(ip, PORT) for ip in self.node.seeds()])
-        self.board = Board()
+        self.board = board(self.host)
         self.relay = Relay(self.bundle, self.board, self.parents)
         self.handlers = self.bundle.handlers
         site.hear(self, self.board)
@@ -262,10 +269,9 @@
 
     def book(self, disk: Disk) -> Book:
         """What a disk holds of endpoints, read as a start reads it."""
-        book = Book(self.shape.report_ms)
-        for row in disk.huts.values():
-            book.restore(UNPACK(row), 0)
-        return book
+        told = SimpleNamespace(huts=disk.huts, facts=disk.facts, voting=True)
+        plane = SimpleNamespace(host=self.host, store=told, bundle=SimpleNamespace(handlers={}))
+        return Endpoints(plane, self.shape.report_ms).book
 
     # Calls from outside.
 
@@ -273,7 +279,7 @@
              late: float = 0.0) -> tuple[int, bytes]:
         """(status, body) of an answer; status 0 where none came within `timeout` seconds."""
         waiter, sim, network = Waiter(self.outside), self.sim, self.network
-        here = self.outside.machine
+        here, left = self.outside.machine, []
 
         def arrives():
             process = machine.process
@@ -289,14 +295,17 @@
             status = []
             path_, _, query = path.partition("?")
             environ = {"REQUEST_METHOD": method, "PATH_INFO": path_, "QUERY_STRING": query,
-                       "wsgi.input": io.BytesIO(body), "CONTENT_LENGTH": str(len(body))}
+                       "wsgi.input": Input(io.BytesIO(body), len(body)), "CONTENT_LENGTH": str(len(body)),
+                       "flintreach.gone": lambda: bool(left and sim.now >= left[0])}
             told = b"".join(process.control(environ, lambda line, headers: status.append(int(line[:3]))))
             lost = sim.chance.random() < self.lost_answers or not network.joined(here.ip, machine.ip)
             if not lost and process.alive:
                 sim.after(network.delay(machine, here), waiter.wake, (status[0], told))
 
         sim.after(network.delay(here, machine) + int(late * SECOND), arrives)
-        return waiter.wait(timeout) or (0, b"")
+        told = waiter.wait(timeout) or (0, b"")
+        left.append(sim.now + network.delay(here, machine))  # when its end is seen there
+        return told
 
     # Calls of a keeper to an endpoint.
 
--- a/flintreach/standins/simulated_watch.py
+++ b/flintreach/standins/simulated_watch.py
@@ -198,7 +198,7 @@
             book = self.site.book(disk)
             record = book.records.get(endpoint.id)
             if (record is not None and (not leaves or record.state in (CLOSING, GONE))
-                    or leaves and endpoint.id in book.gone):
+                    or leaves and endpoint.id in getattr(book, "gone", ())):
                 holders.add(address)
         self.quorum("known", f"{what} of {endpoint.id} acknowledged by {who}", holders)
 
