--- a/flintreach/standins/simulated_watch.py
+++ b/flintreach/standins/simulated_watch.py
@@ -246,10 +246,8 @@
 
     def look(self) -> None:
         now, up = self.sim.now, self.site.up()
-        network = self.site.network
         for refuge in up:
-            others = sum(network.joined(refuge.machine.ip, other.machine.ip) for other in up)
-            if 2 * others > len(self.site.refuges) or refuge not in self.met:
+            if self.meets(refuge) or refuge not in self.met:
                 self.met[refuge] = now
             self.epoch(refuge.plane.register.voters)
         if self.calm(now):
@@ -288,7 +286,15 @@
         return {zone: orders[-1][0] for zone, orders in self.zones.items()
                 if orders[-1][2] is not None and orders[-1][2] < before}
 
+    def meets(self, refuge) -> bool:
+        """Whether a refuge may be in contact with a majority: joined to it, for longer than a way and back."""
+        joined = self.site.network.joined
+        others = sum(joined(refuge.machine.ip, other.machine.ip) for other in self.site.up())
+        return 2 * others > len(self.site.refuges) and self.sim.now - refuge.machine.eased > 30 * MS
+
     def directions(self, refuge, status: int) -> None:
+        if self.meets(refuge):
+            self.met[refuge] = self.sim.now
         alone = self.sim.now - self.met.get(refuge, self.sim.now)
         if status == 200 and alone > STALE:
             self.broke("stale", f"{refuge.name} answers directions, alone for {alone / SECOND:.1f} s")
