--- a/flintreach/refuge/care.py
+++ b/flintreach/refuge/care.py
@@ -69,7 +69,9 @@
         return True
 
     def fetch(self, key: str, stamp: tuple, holder: tuple[str, int]) -> None:
-        if slot := self.register.fetch(holder, key, stamp):
+        slot = self.register.fetch(holder, key, stamp)
+        # What it has accepted since may never stand: only of this stamp a quorum told.
+        if slot and slot.accepted == stamp:
             self.learned[key] = stamp
             self.plane.orders.learn(key, slot.value)
 
--- a/flintreach/refuge/voting.py
+++ b/flintreach/refuge/voting.py
@@ -159,8 +159,11 @@
         self.leaving[me] = now + LEAVING_S
         peers = self.plane.peers()
         self.plane.bundle.gather(peers, "leaving", list(me), lambda got: len(got) == len(peers), 0.3)
-        wish = wanted(self.register.voters, self.asked(self.disks()), self.losses, 0.0)
-        while wish and me in self.register.group and self.host.now() < now + HANDOVER_S:
+        while me in self.register.group and self.host.now() < now + HANDOVER_S:
+            voters = self.register.voters
+            # While two sets stand it may be one that both need: it stays until that is over.
+            if not voters.joint and not wanted(voters, self.asked(self.disks()), self.losses, 0.0):
+                break
             self.host.sleep(0.05)
 
     def on_replace(self, link, body):
--- a/flintreach/standins/simulated_site.py
+++ b/flintreach/standins/simulated_site.py
@@ -5,6 +5,7 @@
 """
 
 import io
+from collections.abc import Callable
 from types import SimpleNamespace
 
 import msgspec
@@ -98,10 +99,15 @@
         """SIGHUP."""
         self.node = self.plane.node = self.site.node(self.machine, ROLE, self.node.sender.first_run)
 
-    def stop(self) -> None:
-        """SIGTERM."""
-        self.lookout.change(state=3)
-        self.end(True)
+    def stop(self, ended: Callable[[], None]) -> None:
+        """SIGTERM; `ended()`: called when it has ended by itself."""
+        def leave():
+            self.plane.care.voting.leave()
+            self.lookout.change(state=3)
+            self.sim.after(0, self.end, True)
+            self.sim.after(0, ended)
+
+        self.do(self.host.spawn, leave)
 
     def end(self, told: bool) -> None:
         super().end(told)
--- a/flintreach/standins/simulated_trial.py
+++ b/flintreach/standins/simulated_trial.py
@@ -124,7 +124,7 @@
 
     def strike_at(self, machine, kinds) -> None:
         """One fault of some kinds at a machine (None: any), if it may be lost now."""
-        ready = self.ready()
+        ready = self.ready() if self.sim.now >= self.resting else []
         if not self.over and self.sim.now < self.until and ready and (machine is None or machine in ready):
             machine = machine or self.chance.choice(ready)
             self.take(machine)
@@ -237,7 +237,14 @@
 
         def leave():
             if planned and machine.process is not None and machine.process.alive:
-                machine.process.stop()
+                machine.process.stop(gone)
+                self.sim.after(6 * SECOND, gone)  # grace is over
+            else:
+                gone()
+
+        def gone():
+            if machine.ip not in site.refuges:
+                return
             site.remove(machine)
             site.choose_seeds(self.chance)
             if not early:
@@ -300,6 +307,8 @@
         rest = not wiped or self.chance.random() < 0.5
         self.note(None, ("power lost" if power else "killed") if rest else "only these lose their disks")
         self.watch.trouble(1)
+        # Each counts as lost until it has had its time after its return: nothing else may go until then.
+        self.resting = max(self.resting, self.sim.now + 5 * SECOND)
         for machine in [*self.site.refuges.values()]:
             if machine in wiped:
                 self.note(machine, "loses its disk")
--- a/flintreach/standins/simulated_watch.py
+++ b/flintreach/standins/simulated_watch.py
@@ -5,6 +5,7 @@
 
 import re
 from collections import Counter
+from itertools import combinations
 
 import msgspec
 
@@ -341,10 +342,13 @@
         there = {m.process_address: m for m in self.site.refuges.values()}
         members = set(voters.members())
         text = f"epoch {voters.epoch}: {sorted(ip for ip, _ in members)} of {sorted(ip for ip, _ in there)}"
-        if members - set(there):
-            self.broke("voters", f"{text}: one that was removed votes")
-        if len(members & set(there)) < min(2 * shape.machines + 1, len(there)):
+        alive = members & set(there)
+        if len(alive) < min(2 * shape.machines + 1, len(there)):
             self.broke("voters", f"{text}: too few for the loss of {shape.machines}")
+        # One that was removed may still stand among them, as long as any further loss leaves a quorum.
+        for lost in combinations(sorted(alive), shape.machines if len(there) > 2 * shape.machines else 0):
+            if not voters.met(alive - {*lost}):
+                self.broke("voters", f"{text}: the loss of {lost} leaves no quorum")
         if shape.zones:
             for zone in sorted({m.zone for m in there.values()}):
                 left = {address for address, m in there.items() if m.zone != zone}
--- a/tests/test_system_simulation.py
+++ b/tests/test_system_simulation.py
@@ -13,7 +13,7 @@
 from flintreach.standins.simulated_watch import INVARIANTS, Put, Watch, edition, numbered
 
 # The others do not hold in this text yet (see docs/design/simulation.md); the command has all of them on.
-OPEN = ("single", "known", "ended", "stale", "evacuated", "live", "agree", "voters", "forgotten")
+OPEN = ()
 ON = tuple(name for name in INVARIANTS if name not in OPEN)
 SEEDS, MOST = 400, 150  # played; in which a plant must be found
 RARE = ("no-write-back", "votes-when-empty", "forgets-holds")
