--- a/flintreach/refuge/plane.py
+++ b/flintreach/refuge/plane.py
@@ -24,7 +24,7 @@
 
 class ControlPlane:
     """`roster`: who is known, with `alive(role)`; `seeds()`: addresses to join by, as settings name them now;
-    `on_begin()`: called once, when callers may be answered; `keep_keys`: whether it hands out keys."""
+    `on_begin()`: called once, when callers may be answered."""
 
     def __init__(self, node: Node, bundle, store, roster, seeds: Callable[[], list],
                  on_begin: Callable[[], None] = lambda: None):
@@ -58,12 +58,6 @@
         found = {m.address for m in self.roster.alive(ROLE)} | set(self.group)
         return sorted(found - {me})
 
-    def enough(self) -> int:
-        """Voters that must know, this one among them, so that no loss within bounds takes it from all: so
-        many are a quorum whichever they are."""
-        sets = self.register.voters.sets
-        return max((len(self.group) - len(one) + len(one) // 2 + 1 for one in sets), default=1)
-
     def forget_left(self) -> None:
         """Keep no links to refuges that have left: a fleet may change all its machines in time."""
         known = {member.address for member in self.roster.members.values()} | {*self.group, *self.seeds()}
--- a/flintreach/standins/simulated_site.py
+++ b/flintreach/standins/simulated_site.py
@@ -115,11 +115,6 @@
         self.store.end()
 
 
-def board(host) -> Board:
-    """Boards that forget need a clock."""
-    return Board(host.now) if Board.__init__.__code__.co_argcount > 1 else Board()
-
-
 class Bothy(Process):
     """What a bothy is to the news: a child of two parents, with a board.  It takes no requests."""
 
@@ -131,7 +126,7 @@
         member = Member(me.node_name, BOTHY, *self.bundle.address, me.zone, me.region,
                         dict(self.node.network.posts), me.counted, True, machine.wall_ms())
         self.lookout = Sightings(self, member, lambda: [(ip, PORT) for ip in self.node.seeds()])
-        self.board = board(self.host)
+        self.board = Board(self.host.now)
         self.relay = Relay(self.bundle, self.board, self.parents)
         self.handlers = self.bundle.handlers
         site.hear(self, self.board)
