--- a/benchmarks/chart.py
+++ b/benchmarks/chart.py
@@ -20,10 +20,15 @@
     left.plot([row["cores"] for row in full], [row["taken"] / one for row in full], "o-")
     left.set(title="lines taken at full load", xlabel="cores", ylabel="times one core's", ylim=0)
     for name, label in (("p50_ms", "median"), ("p99_ms", "99th percentile")):
-        right.plot([row["cores"] for row in tenth], [row[name] / tenth[0][name] for row in tenth], "o-",
-                   label=label)
-    right.set(title="a line's last byte to its order, 10,000 lines/s", xlabel="cores",
-              ylabel="times one core's", ylim=0)
+        right.plot(
+            [row["cores"] for row in tenth], [row[name] / tenth[0][name] for row in tenth], "o-", label=label
+        )
+    right.set(
+        title="a line's last byte to its order, 10,000 lines/s",
+        xlabel="cores",
+        ylabel="times one core's",
+        ylim=0,
+    )
     right.legend()
     figure.savefig(to, dpi=110)
 
--- a/benchmarks/cores.py
+++ b/benchmarks/cores.py
@@ -31,8 +31,13 @@
 
 CORES = sorted(os.sched_getaffinity(0))
 # Processes of a pilot by the cores that it is given; one decides.
-PLANS = {2: "workers = 1\n search = false", 3: "workers = 1", 4: "workers = 2", 6: "workers = 4",
-         8: "workers = 6"}
+PLANS = {
+    2: "workers = 1\n search = false",
+    3: "workers = 1",
+    4: "workers = 2",
+    6: "workers = 4",
+    8: "workers = 6",
+}
 SAMPLED = 130  # servers whose probes are listened to, of many: a hundred questions a second
 TICK = os.sysconf("SC_CLK_TCK")
 
@@ -46,9 +51,13 @@
     config = told(servers, slices, proxies)
     first = servers - len(ports)
     config["known"]["endpoints"] = [
-        row(n, address=f"127.0.0.1:{ports[n - first] if n >= first else 9}") for n in range(servers)]
-    config["settings"]["specifics"] |= {"backlog": 60.0 * proxies, "channel_rate": 20.0 * proxies,
-                                        "messages_most": 0}
+        row(n, address=f"127.0.0.1:{ports[n - first] if n >= first else 9}") for n in range(servers)
+    ]
+    config["settings"]["specifics"] |= {
+        "backlog": 60.0 * proxies,
+        "channel_rate": 20.0 * proxies,
+        "messages_most": 0,
+    }
     return config | {"limits": {"sockets": 1024, "memory_mb": 4096}}
 
 
@@ -86,14 +95,29 @@
     for number in range(loaders):
         mine, theirs = context.Pipe()
         ends.append(mine)
-        found.append(context.Process(target=generate, args=(
-            at, load_cores, connections // loaders, rate / loaders, seconds, (size[0], size[2]), number,
-            theirs)))
+        found.append(
+            context.Process(
+                target=generate,
+                args=(
+                    at,
+                    load_cores,
+                    connections // loaders,
+                    rate / loaders,
+                    seconds,
+                    (size[0], size[2]),
+                    number,
+                    theirs,
+                ),
+            )
+        )
     if sampler:
         mine, theirs = context.Pipe()
         ends.append(mine)
-        found.append(context.Process(target=sample, args=(
-            at, load_cores, size[0] - sampled(size[0]), sampler, seconds, theirs)))
+        found.append(
+            context.Process(
+                target=sample, args=(at, load_cores, size[0] - sampled(size[0]), sampler, seconds, theirs)
+            )
+        )
     for process in found:
         process.start()
     for end in ends:
@@ -103,8 +127,15 @@
     return ends, found
 
 
-def measure(cores: int, rate: float, seconds: float, size: tuple[int, int, int], loaders: int,
-            connections: int, tree: str | None) -> dict:
+def measure(
+    cores: int,
+    rate: float,
+    seconds: float,
+    size: tuple[int, int, int],
+    loaders: int,
+    connections: int,
+    tree: str | None,
+) -> dict:
     """One row.  `tree`: another checkout of this program, as its baseline on one core.  Taken is what
     the pilot itself has read; what waits in buffers does not count."""
     mine = CORES[:cores]
@@ -141,23 +172,32 @@
         histogram.record_value(max(1, value // 1000))
     figures = dict(re.findall(r"(\w+)=(\d+)", stopped))
     return {
-        "cores": cores, "rate": rate,
+        "cores": cores,
+        "rate": rate,
         "taken": round(int(figures["lines"]) / seconds) if "lines" in figures else None,
         "held_back": sum(answer["held_back"] for answer in answers),
         "resets": sum(answer["resets"] for answer in answers),
-        **{f"p{str(q).replace('.', '_')}_ms": histogram.get_value_at_percentile(q) / 1000
-           for q in (50, 99, 99.9)},
-        "samples": len(taken), "missed": missed, "longest_turn_ms": int(figures.get("longest_ms", 0)),
-        "deepest": int(figures.get("deepest", 0)), "calls": len(relay.calls), "audit": len(relay.audit()),
+        **{
+            f"p{str(q).replace('.', '_')}_ms": histogram.get_value_at_percentile(q) / 1000
+            for q in (50, 99, 99.9)
+        },
+        "samples": len(taken),
+        "missed": missed,
+        "longest_turn_ms": int(figures.get("longest_ms", 0)),
+        "deepest": int(figures.get("deepest", 0)),
+        "calls": len(relay.calls),
+        "audit": len(relay.audit()),
         "channel_lines": max((len(call.orders) for call in relay.calls), default=0),
         "cpu": [round((after[p][0] - before[p][0]) / span, 2) for p in before],
-        "memory_mb": [round(after[p][1]) for p in before], "shared_with_load": cores >= len(CORES),
+        "memory_mb": [round(after[p][1]) for p in before],
+        "shared_with_load": cores >= len(CORES),
         "said": [text for text in said if "worker" in text or "client" in text],
     }
 
 
 def ceiling(loaders: int, connections: int, seconds: float, size) -> float:
     """Lines a second that the load brings to a reader that does nothing but count."""
+
     class Sink(asyncio.Protocol):
         def data_received(self, data):
             pass
@@ -170,6 +210,7 @@
             at.append(server.sockets[0].getsockname())
             ready.set()
             await asyncio.sleep(seconds + 30)
+
         uvloop.run(run())
 
     threading.Thread(target=serve, daemon=True).start()
@@ -181,11 +222,19 @@
     return sum(answer["rate"] for answer in answers)
 
 
-def main(cores: str = "1,2,4", rate: str = "20000,100000,max", seconds: float = 12.0, servers: int = 1000,
-         proxies: int = 4000, slices: int = 8000, loaders: int = 3, connections: int = 24,
-         baseline: str = typer.Option(None, help="Another checkout, measured first on one core."),
-         only_ceiling: bool = typer.Option(False, "--ceiling"),
-         json_file: str = typer.Option(None, "--json")):
+def main(
+    cores: str = "1,2,4",
+    rate: str = "20000,100000,max",
+    seconds: float = 12.0,
+    servers: int = 1000,
+    proxies: int = 4000,
+    slices: int = 8000,
+    loaders: int = 3,
+    connections: int = 24,
+    baseline: str = typer.Option(None, help="Another checkout, measured first on one core."),
+    only_ceiling: bool = typer.Option(False, "--ceiling"),
+    json_file: str = typer.Option(None, "--json"),
+):
     """Rows as JSON, one a line."""
     size = servers, proxies, slices
     if only_ceiling:
--- a/benchmarks/telemetry.py
+++ b/benchmarks/telemetry.py
@@ -1,6 +1,6 @@
 """Graphite and collectd: what a turn pays for its figures, datagrams a second, memory at a million names.
 
-    python -m benchmarks.telemetry
+python -m benchmarks.telemetry
 """
 
 import json
@@ -26,8 +26,13 @@
 def turns(measured: bool, servers: int, number: int) -> float:
     """Seconds for so many turns of the decisions with a line for each server, with the tap or without."""
     ops = [face.Operation("look", 0, SECOND, 3 * SECOND)]
-    settings = face.Settings(seed=7, operations=ops, slices=[face.Slice(n) for n in range(servers * 8)],
-                             load_fields=("util",), channel_limit=1e6)
+    settings = face.Settings(
+        seed=7,
+        operations=ops,
+        slices=[face.Slice(n) for n in range(servers * 8)],
+        load_fields=("util",),
+        channel_limit=1e6,
+    )
     rows = [face.Server(f"s{n}") for n in range(servers)]
     pilot, taps = Pilot(settings), []
     service = SimpleNamespace(taps=taps, pilot=pilot)
@@ -48,8 +53,10 @@
 def datagrams(number: int, wrap) -> float:
     """Datagrams a second of one core, read, checked and entered: four processors, eight values each."""
     ledger, keys = Ledger({f"h{n}": f"s{n}" for n in range(100)}), {"anna": "secret"}
-    data = [wrap(collectd.cpu(f"h{n % 100}", T + n // 100 * 10 * SECOND, 25.0, processors=4))
-            for n in range(number)]
+    data = [
+        wrap(collectd.cpu(f"h{n % 100}", T + n // 100 * 10 * SECOND, 25.0, processors=4))
+        for n in range(number)
+    ]
     began = time.perf_counter()
     for n, datagram in enumerate(data):
         came = T + n // 100 * 10 * SECOND
@@ -76,14 +83,25 @@
 def main(servers: int = 100, number: int = 400, pairs: int = 9):
     """One row as JSON."""
     ratios = [turns(True, servers, number) / turns(False, servers, number) for _ in range(pairs)]
-    typer.echo(json.dumps({
-        "tap_ratio": [round(min(ratios), 3), round(statistics.median(ratios), 3), round(max(ratios), 3)],
-        "plain_a_second": round(datagrams(20_000, lambda data: data)),
-        "signed_a_second": round(datagrams(20_000, lambda data: collectd.signed(data, "anna", "secret"))),
-        "encrypted_a_second": round(
-            datagrams(20_000, lambda data: collectd.encrypted(data, "anna", "secret"))),
-        "bytes_left_by_a_million_names": names(1_000_000),
-    }))
+    typer.echo(
+        json.dumps(
+            {
+                "tap_ratio": [
+                    round(min(ratios), 3),
+                    round(statistics.median(ratios), 3),
+                    round(max(ratios), 3),
+                ],
+                "plain_a_second": round(datagrams(20_000, lambda data: data)),
+                "signed_a_second": round(
+                    datagrams(20_000, lambda data: collectd.signed(data, "anna", "secret"))
+                ),
+                "encrypted_a_second": round(
+                    datagrams(20_000, lambda data: collectd.encrypted(data, "anna", "secret"))
+                ),
+                "bytes_left_by_a_million_names": names(1_000_000),
+            }
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/flintreach/__main__.py
+++ b/flintreach/__main__.py
@@ -64,8 +64,12 @@
 def commands():
     import typer
 
-    app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
-                      help="flintreach: the pilot behind a layer of plain proxies.")
+    app = typer.Typer(
+        add_completion=False,
+        no_args_is_help=True,
+        pretty_exceptions_enable=False,
+        help="flintreach: the pilot behind a layer of plain proxies.",
+    )
     option = typer.Option(None, "--config", help="The configuration; PROXY_CONFIG names it otherwise.")
     own = typer.Option(None, "--operator", help="The operator's file, or by FLINTREACH_OPERATOR.")
 
@@ -87,8 +91,10 @@
         told, file = configured(config), operated(operator)
         if file:
             fitting(told, file)
-        typer.echo(f"{told.name}: {len(told.settings.slices)} slices, {told.settings.proxies} proxies, "
-                   f"{len(told.settings.operations)} operations; listens at {told.listen}")
+        typer.echo(
+            f"{told.name}: {len(told.settings.slices)} slices, {told.settings.proxies} proxies, "
+            f"{len(told.settings.operations)} operations; listens at {told.listen}"
+        )
         if file:
             from flintreach.operator import says
 
@@ -96,8 +102,11 @@
                 typer.echo(line)
 
     @app.command()
-    def figures(directory: Path, match: str = typer.Option("", help="Only names that hold this text."),
-                as_json: bool = typer.Option(False, "--json", help="Points as JSON.")) -> None:
+    def figures(
+        directory: Path,
+        match: str = typer.Option("", help="Only names that hold this text."),
+        as_json: bool = typer.Option(False, "--json", help="Points as JSON."),
+    ) -> None:
         """Show the last hour that a pilot has kept in a directory."""
         from flintreach.telemetry import show
 
--- a/flintreach/adapter/host.py
+++ b/flintreach/adapter/host.py
@@ -9,8 +9,16 @@
 
 STATES = {"SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}
 ROSTERS = {"Partial": "delta", "Complete": "full", "Persisted": "cached", "Error": "failed"}
-STATUSES = {"Ok": "ok", "Failed": "error", "QueueFull": "full", "TimedOut": "timeout",
-            "ConnectError": "connect_failed", "ResetByPeer": "reset", "Canceled": "error", "Ignored": "error"}
+STATUSES = {
+    "Ok": "ok",
+    "Failed": "error",
+    "QueueFull": "full",
+    "TimedOut": "timeout",
+    "ConnectError": "connect_failed",
+    "ResetByPeer": "reset",
+    "Canceled": "error",
+    "Ignored": "error",
+}
 EVERY_TABLE = 65535
 
 
@@ -21,8 +29,7 @@
         self.name = name
         self.settings = settings.read(seed, config)
         self.registry = Registry(self.settings)
-        self.server, self.proxy, self.piece = (
-            self.registry.server, self.registry.proxy, self.registry.piece)
+        self.server, self.proxy, self.piece = (self.registry.server, self.registry.proxy, self.registry.piece)
         self.events: list = []
         self.pilot = pilot(self.settings)
 
@@ -94,8 +101,10 @@
             case face.Withdraw():
                 return f"WITHDRAW {name} {names[order.server]} {order.out:d}"
             case face.Admit():
-                return (f"ADMIT {name} {self.table(order.slice)} {self.bits(order.operations)} "
-                        f"{real(order.level)} {order.resend}")
+                return (
+                    f"ADMIT {name} {self.table(order.slice)} {self.bits(order.operations)} "
+                    f"{real(order.level)} {order.resend}"
+                )
             case face.Mark():
                 return f"NONCE {name} {order.number} {order.everyone:d}"
             case face.Probe():
@@ -104,8 +113,10 @@
                 to = "all" if order.pilot is None else order.pilot
                 return f"NOTIFY {name} {to} {wire.encoded(order.data)}"
             case face.Bind():
-                return (f"ATTACH_TABLE {name} {order.slice.number} {self.bits(order.operations)} "
-                        f"{order.proxy.number}")
+                return (
+                    f"ATTACH_TABLE {name} {order.slice.number} {self.bits(order.operations)} "
+                    f"{order.proxy.number}"
+                )
             case face.Clear():
                 return f"WIPE {name} {order.slice.number}"
             case face.Observe():
--- a/flintreach/bothy/carry.py
+++ b/flintreach/bothy/carry.py
@@ -28,15 +28,35 @@
 
 MS, SECOND = 1_000_000, 1_000_000_000
 CONNECT_S = 0.6
-HOP = {"connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
-       "trailer", "transfer-encoding", "upgrade", "content-length", "expect", "x-expect-endpoint",
-       "x-time-left-ms"}
+HOP = {
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+    "x-expect-endpoint",
+    "x-time-left-ms",
+}
 # What a `Connection` header may not take away: by these it is told whose a request or an answer is.
 END_TO_END = {"host", "x-try-id", "x-postmark", "x-shard-key"}
 PAUSE = "0.1"  # seconds after which one that was turned away may come again
-REASONS = {400: "Bad Request", 404: "Not Found", 408: "Request Timeout", 413: "Content Too Large",
-           431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
-           503: "Service Unavailable", 504: "Gateway Timeout"}
+REASONS = {
+    400: "Bad Request",
+    404: "Not Found",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
 
 
 @dataclass(slots=True)
@@ -188,8 +208,17 @@
         rate, b, fronts = depot.cold_per_s if depot else 0.0, self.bounds, world.here.fronts
         # Keys have one holder: all must be able to reach it, even if it is cold.
         pilots = fronts if world.sharded(line) else cold_pilots(rate, b.cold_excess, b.cold_slack, fronts)
-        return choose(world.able(route, line, key, tried), world.here, route.aim, self.usual(route, line),
-                      now, rate, pilots, random.random(), world.tables.get(slice_of(route, line)))
+        return choose(
+            world.able(route, line, key, tried),
+            world.here,
+            route.aim,
+            self.usual(route, line),
+            now,
+            rate,
+            pilots,
+            random.random(),
+            world.tables.get(slice_of(route, line)),
+        )
 
     def usual(self, route, line) -> int:
         return self.work.get(line, route.aim // 8)
@@ -208,8 +237,17 @@
             idle = IDLE
             if depot:
                 idle = idle_for(hut, self.world.here, depot.berth_cap, IDLE, depot.sharded)
-            outcome = exchange(hut.wires, head, request.body, id, until, CONNECT_S, idle,
-                               lambda: self.world.takes(hut), request.wires)
+            outcome = exchange(
+                hut.wires,
+                head,
+                request.body,
+                id,
+                until,
+                CONNECT_S,
+                idle,
+                lambda: self.world.takes(hut),
+                request.wires,
+            )
             return outcome
         finally:
             after = time.monotonic_ns()
@@ -279,4 +317,3 @@
         if request.method != "HEAD" and message.status not in (204, 304):
             headers.append(("Content-Length", str(len(message.body))))
         return Answer(message.status, message.reason, headers, bytes(message.body))
-
--- a/flintreach/bothy/choice.py
+++ b/flintreach/bothy/choice.py
@@ -153,8 +153,17 @@
     return way + (over / hut.berths * work if over > 0 else 0.0) + 0.25 * work * load / hut.berths
 
 
-def choose(huts: list[Hut], here: Here, aim: int, work: int, now: int, cold_per_s: float, pilots: int,
-           chance: float, table: frozenset[str] | None = None) -> Hut | None:
+def choose(
+    huts: list[Hut],
+    here: Here,
+    aim: int,
+    work: int,
+    now: int,
+    cold_per_s: float,
+    pilots: int,
+    chance: float,
+    table: frozenset[str] | None = None,
+) -> Hut | None:
     """The endpoint for a try, of those that may serve it; None where none may."""
     best, least = None, 0.0
     for place, hut in enumerate(huts):
--- a/flintreach/bothy/endpoint.py
+++ b/flintreach/bothy/endpoint.py
@@ -144,8 +144,17 @@
     return ANSWERED
 
 
-def exchange(wires: Wires, head: bytes, body: bytes, id: str, until: int, connect_s: float,
-             most: int = IDLE, still=lambda: True, used: list | None = None) -> Outcome:
+def exchange(
+    wires: Wires,
+    head: bytes,
+    body: bytes,
+    id: str,
+    until: int,
+    connect_s: float,
+    most: int = IDLE,
+    still=lambda: True,
+    used: list | None = None,
+) -> Outcome:
     """Send one request; `until`: steady nanoseconds at which nobody waits for the answer any more; `most`:
     nanoseconds for which its connection may lie idle afterwards; `still()`: whether it may be sent there;
     `used`: connections that this request went out on before, to which its own is added."""
--- a/flintreach/bothy/front.py
+++ b/flintreach/bothy/front.py
@@ -54,7 +54,7 @@
         if at > most:
             raise Bad(431)
         out = bytes(self.buffer[:at])
-        del self.buffer[:at + len(mark)]
+        del self.buffer[: at + len(mark)]
         return out
 
 
@@ -76,8 +76,14 @@
         if not colon or not name or not TOKEN.issuperset(name) or "\r" in value or "\0" in value:
             raise Bad(400)
         low = name.lower()
-        if low in request.low and low in ("host", "content-length", "transfer-encoding", "x-try-id",
-                                          "x-time-left-ms", "x-shard-key"):
+        if low in request.low and low in (
+            "host",
+            "content-length",
+            "transfer-encoding",
+            "x-try-id",
+            "x-time-left-ms",
+            "x-shard-key",
+        ):
             raise Bad(400)
         request.low[low] = f"{request.low[low]},{value}" if low in request.low else value
         request.headers.append((name, value))
--- a/flintreach/bothy/program.py
+++ b/flintreach/bothy/program.py
@@ -38,11 +38,19 @@
         self.world = World(self.board, self.here, node.network.zones, time.monotonic_ns, node.bounds)
         self.counts: dict[str, int] = {}
         self.tally = Tally()
-        self.carrier = Carrier(self.world, node.bounds, self.counts, self.tally,
-                               me.limits.link_mbps)
+        self.carrier = Carrier(self.world, node.bounds, self.counts, self.tally, me.limits.link_mbps)
         posts = {"front": node.network.posts["front"], "mbps": str(me.limits.link_mbps)}
-        member = Member(me.node_name, ROLE, *address, me.zone, me.region, posts, me.counted, False,
-                        int(time.time() * 1000))
+        member = Member(
+            me.node_name,
+            ROLE,
+            *address,
+            me.zone,
+            me.region,
+            posts,
+            me.counted,
+            False,
+            int(time.time() * 1000),
+        )
         self.lookout = Lookout(member, lambda: [(ip, node.inner(REFUGE_POST)[1]) for ip in self.node.seeds()])
         self.lookout.watchers.append(self.recount)
         self.relay = Relay(self.bundle, self.board, self.parents, self.tally.add)
--- a/flintreach/bothy/reply.py
+++ b/flintreach/bothy/reply.py
@@ -67,8 +67,9 @@
 
     def _on_headers_complete(self):
         self.now.status, self.in_body = self.get_code(), True
-        self.framed = any(name.lower() in ("content-length", "transfer-encoding")
-                          for name, _ in self.now.headers)
+        self.framed = any(
+            name.lower() in ("content-length", "transfer-encoding") for name, _ in self.now.headers
+        )
         return self.bare
 
     def _on_body(self, data):
--- a/flintreach/bothy/world.py
+++ b/flintreach/bothy/world.py
@@ -77,9 +77,15 @@
                 self.divided = None
             return
         if held is None:
-            held = self.huts[id] = Hut(id, told["line"], told["addr"], told["zone"],
-                                       self.zones.get(told["zone"], ""), max(1, told["berths"]),
-                                       wires=Wires(told["addr"]))
+            held = self.huts[id] = Hut(
+                id,
+                told["line"],
+                told["addr"],
+                told["zone"],
+                self.zones.get(told["zone"], ""),
+                max(1, told["berths"]),
+                wires=Wires(told["addr"]),
+            )
             self.lines.setdefault(told["line"], {})[id] = held
             self.divided = None
         if told["state"] == "closing" and held.state != "closing":
@@ -101,8 +107,9 @@
 
     def stays(self, hut: Hut) -> bool:
         now = self.clock()
-        return ((hut.state != "closing" or now - hut.closing_at < self.last_call)
-                and now - self.away.get(hut.zone, now) < self.last_stay)
+        return (hut.state != "closing" or now - hut.closing_at < self.last_call) and now - self.away.get(
+            hut.zone, now
+        ) < self.last_stay
 
     def takes(self, hut: Hut) -> bool:
         """Whether anything may go to an endpoint at all: the rules on leaving and on evacuations."""
@@ -121,7 +128,10 @@
         else:
             found = self.lines.get(line, {}).values()
         homes = route.homes
-        found = [hut for hut in found if self.takes(hut) and hut.id not in tried
-                 and (not homes or hut.region in homes)]
+        found = [
+            hut
+            for hut in found
+            if self.takes(hut) and hut.id not in tried and (not homes or hut.region in homes)
+        ]
         now = self.clock()
         return [hut for hut in found if hut.there(now)] or found
--- a/flintreach/bunks/keeping.py
+++ b/flintreach/bunks/keeping.py
@@ -45,8 +45,15 @@
             return False
         return True
 
-    def step(self, held: Allocation, began: float, able: dict[str, tuple[float, str]],
-             ended: Callable[[str], bool], heat: Heat, busy: set[str]) -> bool:
+    def step(
+        self,
+        held: Allocation,
+        began: float,
+        able: dict[str, tuple[float, str]],
+        ended: Callable[[str], bool],
+        heat: Heat,
+        busy: set[str],
+    ) -> bool:
         """Change what stands in the register; False where another keeper is at work.
 
         May run several times before one change stands, so it leaves this process's own state alone.
@@ -61,8 +68,14 @@
         held.beat += 1
         if mine and began >= self.quiet_until:
             self.free(held, began, ended)
-            plan.evict(held, {r.holder for r in held.ranges
-                              if r.holder not in able or self.fails(r.holder, 2 * TRIES, began)})
+            plan.evict(
+                held,
+                {
+                    r.holder
+                    for r in held.ranges
+                    if r.holder not in able or self.fails(r.holder, 2 * TRIES, began)
+                },
+            )
             good = {id: weight for id, (weight, _) in able.items() if not self.fails(id, TRIES, began)}
             plan.fill(held, good, {id: addr for id, (_, addr) in able.items()}, heat)
             plan.spread(held, good, heat, busy)
@@ -83,8 +96,7 @@
         self.acked = {place: at for place, at in self.acked.items() if place in places}
         self.sent = {fence: at for fence, at in self.sent.items() if fence in fences}
         holders = {r.holder for r in held.ranges}
-        self.failed = {id: note for id, note in self.failed.items()
-                       if id in holders or now - note[1] < AGAIN}
+        self.failed = {id: note for id, note in self.failed.items() if id in holders or now - note[1] < AGAIN}
         self.allocation, self.until = held, began + SEND
         return new
 
--- a/flintreach/bunks/plan.py
+++ b/flintreach/bunks/plan.py
@@ -116,8 +116,9 @@
     """Split a range so that its first part has `size` keys."""
     whole = ranges[place]
     if 0 < size < whole.size:
-        rest = Range(whole.low + size, whole.high, whole.holder, whole.fence, whole.state, whole.handover,
-                     whole.addr)
+        rest = Range(
+            whole.low + size, whole.high, whole.holder, whole.fence, whole.state, whole.handover, whole.addr
+        )
         whole.high = whole.low + size - 1
         ranges.insert(place + 1, rest)
 
--- a/flintreach/bunks/warmth.py
+++ b/flintreach/bunks/warmth.py
@@ -38,10 +38,15 @@
         self.turn += 1
         if self.turn % EVERY or not self.keys:
             return None
-        rounded = {line: {bucket: round(count, 1) for bucket, count in counts.items()}
-                   for line, counts in self.keys.items()}
-        return {"keys": rounded, "full": {id: round(full, 2) for id, full in self.full.items()},
-                "bytes": {line: int(size) for line, size in self.bytes.items()}}
+        rounded = {
+            line: {bucket: round(count, 1) for bucket, count in counts.items()}
+            for line, counts in self.keys.items()
+        }
+        return {
+            "keys": rounded,
+            "full": {id: round(full, 2) for id, full in self.full.items()},
+            "bytes": {line: int(size) for line, size in self.bytes.items()},
+        }
 
     def hear(self, told: dict) -> None:
         """What the refuge that has the sums tells of them."""
--- a/flintreach/cairn/acceptor.py
+++ b/flintreach/cairn/acceptor.py
@@ -39,8 +39,9 @@
             return "refused", slot
         return "promise", Slot(ballot, slot.accepted, slot.value)
 
-    def accept(self, key: str, ballot: tuple[int, str], value: bytes | None,
-               life: str) -> tuple[str, Slot | None]:
+    def accept(
+        self, key: str, ballot: tuple[int, str], value: bytes | None, life: str
+    ) -> tuple[str, Slot | None]:
         """("accepted", the slot to keep), ("refused", the slot as it stands) or ("mute", None)."""
         # A promise given by the disk that was lost must not count: its other promises are forgotten.
         if not self.voting or life != self.life:
--- a/flintreach/cairn/offline.py
+++ b/flintreach/cairn/offline.py
@@ -35,7 +35,8 @@
         if key == "voters":
             epoch, *sets = told
             return f"epoch {epoch}: " + " and ".join(
-                " ".join(f"{ip}:{port}" for ip, port, _ in one) for one in sets if one)
+                " ".join(f"{ip}:{port}" for ip, port, _ in one) for one in sets if one
+            )
     except (ValueError, TypeError, KeyError, IndexError, AttributeError, msgspec.DecodeError):
         return f"{len(value)} bytes that can't be read"
     return f"{len(value)} bytes"
@@ -57,16 +58,35 @@
             if facts.get("format") != FORMAT:
                 raise StoreError(f"{path}: written in format {facts.get('format')}, expected {FORMAT}")
             slots = base.execute(
-                "select key, promised_n, promised_by, accepted_n, accepted_by, value from slots order by key")
-            register = [{"key": key, "promised": f"{pn} {pb}".strip(), "accepted": f"{an} {ab}".strip(),
-                         "bytes": len(value or b""), "holds": meaning(key, value)}
-                        for key, pn, pb, an, ab, value in slots]
+                "select key, promised_n, promised_by, accepted_n, accepted_by, value from slots order by key"
+            )
+            register = [
+                {
+                    "key": key,
+                    "promised": f"{pn} {pb}".strip(),
+                    "accepted": f"{an} {ab}".strip(),
+                    "bytes": len(value or b""),
+                    "holds": meaning(key, value),
+                }
+                for key, pn, pb, an, ab, value in slots
+            ]
             huts = [UNPACK(row) for _, row in base.execute("select id, row from huts order by id")]
         except sqlite3.Error as error:
             raise StoreError(f"{path}: {error}") from None
         finally:
             base.close()
-    return {"disk": [{"fact": name, "value": value} for name, value in sorted(facts.items())],
-            "register": register,
-            "endpoints": [{"id": row[0], "line": row[1], "addr": row[2], "zone": row[3], "state": row[6],
-                           "call_seq": row[7]} for row in huts]}
+    return {
+        "disk": [{"fact": name, "value": value} for name, value in sorted(facts.items())],
+        "register": register,
+        "endpoints": [
+            {
+                "id": row[0],
+                "line": row[1],
+                "addr": row[2],
+                "zone": row[3],
+                "state": row[6],
+                "call_seq": row[7],
+            }
+            for row in huts
+        ],
+    }
--- a/flintreach/cairn/register.py
+++ b/flintreach/cairn/register.py
@@ -38,8 +38,14 @@
         self.locks: dict = {}
         self.refused = 0  # writes that the disk did not take
         self.settle()
-        bundle.handlers |= {"prepare": self.on_prepare, "accept": self.on_accept, "slots": self.on_slots,
-                            "stamps": self.on_stamps, "value": self.on_value, "voters": self.on_voters}
+        bundle.handlers |= {
+            "prepare": self.on_prepare,
+            "accept": self.on_accept,
+            "slots": self.on_slots,
+            "stamps": self.on_stamps,
+            "value": self.on_value,
+            "voters": self.on_voters,
+        }
 
     @property
     def group(self) -> list[tuple[str, int]]:
@@ -77,16 +83,34 @@
                 return None
         return None
 
-    def gather(self, addresses: list[Address], kind: str, body: Any, enough: Callable[[list], bool],
-               timeout: float, ask: Callable | None = None) -> list:
+    def gather(
+        self,
+        addresses: list[Address],
+        kind: str,
+        body: Any,
+        enough: Callable[[list], bool],
+        timeout: float,
+        ask: Callable | None = None,
+    ) -> list:
         """As `Bundle.gather`, by `self.ask` if not told; it ends too when our epoch moves."""
         epoch = self.voters.epoch
-        return self.bundle.gather(addresses, kind, body,
-                                  lambda answers: self.voters.epoch != epoch or enough(answers), timeout,
-                                  ask or self.ask)
-
-    def quorum(self, kind: str, body: Any, timeout: float, by: Callable | None = None,
-               mine: Callable[[], Any] | None = None) -> dict[Address, Any] | None:
+        return self.bundle.gather(
+            addresses,
+            kind,
+            body,
+            lambda answers: self.voters.epoch != epoch or enough(answers),
+            timeout,
+            ask or self.ask,
+        )
+
+    def quorum(
+        self,
+        kind: str,
+        body: Any,
+        timeout: float,
+        by: Callable | None = None,
+        mine: Callable[[], Any] | None = None,
+    ) -> dict[Address, Any] | None:
         """Answers of a quorum of the configuration that stands, all given under its epoch; None: too few.
 
         `by`: asks one, in place of `Bundle.ask`; `mine()`: the answer of this process, where it votes.
@@ -102,8 +126,14 @@
         answers = self.gather(voters.members(), kind, body, met, timeout, ask)
         return dict(answers) if met(answers) and self.voters == voters else None
 
-    def poll(self, kind: str, body: list, timeout: float, by: Callable | None = None,
-             mine: Callable[[], Any] | None = None) -> dict[Address, Any] | None:
+    def poll(
+        self,
+        kind: str,
+        body: list,
+        timeout: float,
+        by: Callable | None = None,
+        mine: Callable[[], Any] | None = None,
+    ) -> dict[Address, Any] | None:
         """As `quorum`, of [the epoch, *body], and once more under each later epoch that is told meanwhile."""
         until = self.host.now() + timeout
         while (left := until - self.host.now()) > 0 and self.group:
@@ -122,8 +152,12 @@
             if voters.epoch <= self.voters.epoch:
                 return True
             # One that did not vote has promised nothing that counts.
-            fresh = self.store and self.voters.epoch and not self.voters.lives(self.bundle.address) \
+            fresh = (
+                self.store
+                and self.voters.epoch
+                and not self.voters.lives(self.bundle.address)
                 and voters.lives(self.bundle.address) == {self.store.life}
+            )
             if self.store and not self.store.keep({}, voters.fact() | ({"voting": "1"} if fresh else {})):
                 return False
             self.voters, self.trusted = voters, self.trusted or bool(fresh)
@@ -236,8 +270,13 @@
         answers = self.gather(others, "slots", voters.epoch, heard, 2.0)
         if not heard(answers) or self.voters != voters:
             return False  # a later epoch was told: asked again under it
-        held = [(address, {key: Slot(tuple(promised), tuple(accepted))
-                           for key, (promised, accepted) in rows.items()}) for address, rows in answers]
+        held = [
+            (
+                address,
+                {key: Slot(tuple(promised), tuple(accepted)) for key, (promised, accepted) in rows.items()},
+            )
+            for address, rows in answers
+        ]
         found, missing = merged([slots for _, slots in held]), []
 
         def value(key, slot):
@@ -323,8 +362,13 @@
         lives = {**self.lives, **change.lives}
         group = [address for address in group if address in lives]
         body = [key, list(change.ballot), change.value]
-        self.gather(group, "accept", lambda address: [*body, lives[address], voters.epoch], taken,
-                    max(0.05, until - self.host.now()))
+        self.gather(
+            group,
+            "accept",
+            lambda address: [*body, lives[address], voters.epoch],
+            taken,
+            max(0.05, until - self.host.now()),
+        )
 
     def read(self, key: str, timeout: float = 2.0) -> tuple[bool, bytes | None]:
         """What stands, by a quorum; old copies are mended on the way."""
--- a/flintreach/cairn/store.py
+++ b/flintreach/cairn/store.py
@@ -44,9 +44,15 @@
     def connect(self) -> sqlite3.Connection:
         base = sqlite3.connect(self.path, isolation_level=None, check_same_thread=False)
         # The lock is ours alone, so that the index of the log stays in memory, not in a mapped file.
-        for line in ("locking_mode=EXCLUSIVE", "journal_mode=WAL", "synchronous=FULL", "cache_size=-1024",
-                     # The log is folded in every so many pages, and cut down to this when it was longer.
-                     "wal_autocheckpoint=500", f"journal_size_limit={LOG_BYTES}"):
+        for line in (
+            "locking_mode=EXCLUSIVE",
+            "journal_mode=WAL",
+            "synchronous=FULL",
+            "cache_size=-1024",
+            # The log is folded in every so many pages, and cut down to this when it was longer.
+            "wal_autocheckpoint=500",
+            f"journal_size_limit={LOG_BYTES}",
+        ):
             base.execute(f"pragma {line}")
         return base
 
@@ -56,8 +62,13 @@
         facts = dict(base.execute("select name, value from facts"))
         if not facts:
             # Only a first start on an empty disk may vote at once: any other empty disk has lost something.
-            rows = {"format": FORMAT, "node": self.node, "life": uuid.uuid4().hex[:12],
-                    "voting": "1" if first_run else "0", "books": "1" if first_run else "0"}
+            rows = {
+                "format": FORMAT,
+                "node": self.node,
+                "life": uuid.uuid4().hex[:12],
+                "voting": "1" if first_run else "0",
+                "books": "1" if first_run else "0",
+            }
             base.execute("begin immediate")
             base.executemany("insert into facts values (?, ?)", rows.items())
             base.execute("commit")
@@ -73,14 +84,21 @@
     def read(self):
         slots = {}
         for key, promised_n, promised_by, accepted_n, accepted_by, value in self.pool.apply(
-                lambda: self.base.execute("select * from slots").fetchall()):
+            lambda: self.base.execute("select * from slots").fetchall()
+        ):
             slots[key] = Slot((promised_n, promised_by), (accepted_n, accepted_by), value)
-        facts, huts = (dict(self.pool.apply(lambda table=table: self.base.execute(
-            f"select * from {table}").fetchall())) for table in ("facts", "huts"))
+        facts, huts = (
+            dict(self.pool.apply(lambda table=table: self.base.execute(f"select * from {table}").fetchall()))
+            for table in ("facts", "huts")
+        )
         return slots, facts, huts
 
-    def keep(self, slots: dict[str, Slot | None], facts: dict[str, str] | None = None,
-             huts: dict[str, bytes] | None = None) -> bool:
+    def keep(
+        self,
+        slots: dict[str, Slot | None],
+        facts: dict[str, str] | None = None,
+        huts: dict[str, bytes] | None = None,
+    ) -> bool:
         """Whether it is on disk, once that is known; False when the disk refused it. None and b"" are
         removed."""
         result = AsyncResult()
@@ -105,10 +123,17 @@
                 self.base, self.broken = self.connect(), False
             self.base.execute("begin immediate")
             for slots, facts, huts, _ in batch:
-                self.base.executemany("insert or replace into slots values (?, ?, ?, ?, ?, ?)", [
-                    (key, *slot.promised, *slot.accepted, slot.value) for key, slot in slots.items() if slot])
-                self.base.executemany("delete from slots where key = ?",
-                                      [(key,) for key, slot in slots.items() if not slot])
+                self.base.executemany(
+                    "insert or replace into slots values (?, ?, ?, ?, ?, ?)",
+                    [
+                        (key, *slot.promised, *slot.accepted, slot.value)
+                        for key, slot in slots.items()
+                        if slot
+                    ],
+                )
+                self.base.executemany(
+                    "delete from slots where key = ?", [(key,) for key, slot in slots.items() if not slot]
+                )
                 self.base.executemany("insert or replace into facts values (?, ?)", facts.items())
                 self.base.executemany("insert or replace into huts values (?, ?)", huts.items())
                 self.base.executemany("delete from huts where id = ?", [(id,) for id in huts if not huts[id]])
--- a/flintreach/cairn/turnover.py
+++ b/flintreach/cairn/turnover.py
@@ -46,11 +46,13 @@
         if answers is None:
             return False
         newest: dict[str, tuple[tuple[int, str], Address | None]] = dict.fromkeys(
-            register.acceptor.slots, (NOTHING, None))
+            register.acceptor.slots, (NOTHING, None)
+        )
         for address, held in answers.items():
             for key, stamp in held.items():
-                newest[key] = max(newest.get(key, (NOTHING, None)), (tuple(stamp), address),
-                                  key=lambda pair: pair[0])
+                newest[key] = max(
+                    newest.get(key, (NOTHING, None)), (tuple(stamp), address), key=lambda pair: pair[0]
+                )
         good = []
 
         def copy(key, stamp, holder):
@@ -87,8 +89,10 @@
             return late
         if not register.store:
             return None
-        return [register.store.life, self.caught == register.voters.epoch
-                and register.bundle.address not in register.group]
+        return [
+            register.store.life,
+            self.caught == register.voters.epoch and register.bundle.address not in register.group,
+        ]
 
     # At a voter.
 
@@ -167,6 +171,7 @@
         """
         register, voters = self.register, self.register.voters
         met = lambda answers: voters.met(  # noqa: E731
-            address for address, row in answers if Voters.of(row).epoch >= voters.epoch)
+            address for address, row in answers if Voters.of(row).epoch >= voters.epoch
+        )
         answers = register.bundle.gather(voters.members(), "voters", voters.row(), met, timeout)
         return met(answers)
--- a/flintreach/cairn/voters.py
+++ b/flintreach/cairn/voters.py
@@ -66,8 +66,10 @@
 
     def renewed(self, address: Address, life: str) -> "Voters":
         """The next configuration with the same voters, one of whose disks is another."""
-        sets = (tuple((who, life if who == address else held) for who, held in one)
-                for one in (self.old, self.new))
+        sets = (
+            tuple((who, life if who == address else held) for who, held in one)
+            for one in (self.old, self.new)
+        )
         return Voters(self.epoch + 1, *sets)
 
     def met(self, heard) -> bool:
@@ -83,5 +85,8 @@
         """Whether these others know all that a lost disk of `address` may have promised: in each set that it
         is in, any `size - majority + 1` others have a member of every majority that it was part of."""
         heard = set(heard) - {address}
-        return all(len(heard & one) >= min(len(one) - 1, len(one) - len(one) // 2)
-                   for one in self.sets if address in one)
+        return all(
+            len(heard & one) >= min(len(one) - 1, len(one) - len(one) // 2)
+            for one in self.sets
+            if address in one
+        )
--- a/flintreach/cairn/wanted.py
+++ b/flintreach/cairn/wanted.py
@@ -99,18 +99,23 @@
         self.voters, self.losses = voters, losses
         self.known = {disk.address: disk for disk in disks}
         self.inside = [address for address, _ in voters.old]
-        self.spares = [disk for disk in self.known.values()
-                       if disk.caught and disk.alive and not disk.leaving and disk.address not in self.inside]
+        self.spares = [
+            disk
+            for disk in self.known.values()
+            if disk.caught and disk.alive and not disk.leaving and disk.address not in self.inside
+        ]
         self.stands = self.bears()
-        self.gone = sorted(filter(self.is_gone, self.inside),
-                           key=lambda address: (not self.known[address].leaving, address))
+        self.gone = sorted(
+            filter(self.is_gone, self.inside), key=lambda address: (not self.known[address].leaving, address)
+        )
 
     def is_gone(self, address: Address) -> bool:
         disk = self.known.get(address)
         return disk is not None and (disk.leaving or not disk.alive)
 
-    def bears(self, out: Iterable[Address] = (), into: Disk | None = None,
-              losses: Losses | None = None) -> bool:
+    def bears(
+        self, out: Iterable[Address] = (), into: Disk | None = None, losses: Losses | None = None
+    ) -> bool:
         """Whether the voters without some and with another bear the losses."""
         places = []
         for address in self.inside:
@@ -181,8 +186,9 @@
     return wish.replaced() or wish.dropped() or (wish.grown() if calm_s >= CALM_S else None)
 
 
-def ordered(voters: Voters, disks: Iterable[Disk], losses: Losses, out: Address | None,
-            into: Address | None) -> tuple[Voters | None, str]:
+def ordered(
+    voters: Voters, disks: Iterable[Disk], losses: Losses, out: Address | None, into: Address | None
+) -> tuple[Voters | None, str]:
     """What follows by an operator's order, or None and why not."""
     if voters.epoch == 0 or voters.joint:
         return None, "the voters are not settled, ask again"
--- a/flintreach/cores/block.py
+++ b/flintreach/cores/block.py
@@ -46,5 +46,7 @@
         wanted = DECIDES_MB + WORKER_MB * self.processes, DECIDES + EACH * self.processes
         if not self.workers or wanted[0] <= memory and wanted[1] <= sockets // 2:
             return None
-        return (f"workers: {1 + self.processes} processes want {wanted[0]} MB and {wanted[1]} descriptors, "
-                f"of {memory} and {sockets} allowed")
+        return (
+            f"workers: {1 + self.processes} processes want {wanted[0]} MB and {wanted[1]} descriptors, "
+            f"of {memory} and {sockets} allowed"
+        )
--- a/flintreach/cores/frames.py
+++ b/flintreach/cores/frames.py
@@ -59,7 +59,7 @@
                 end = at + HEAD.size + length
                 if end > len(self.held):
                     break
-                body = bytes(self.held[at + HEAD.size:end])
+                body = bytes(self.held[at + HEAD.size : end])
                 if check(number, body) != sum:
                     raise Torn(f"record {number} is spoilt")
                 at, self.number = end, wanted
--- a/flintreach/cores/front.py
+++ b/flintreach/cores/front.py
@@ -60,7 +60,9 @@
         try:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", f"flintreach.cores.{self.what}", *words],
-                pass_fds=[handle.fileno() for handle in handles], stdin=subprocess.DEVNULL)
+                pass_fds=[handle.fileno() for handle in handles],
+                stdin=subprocess.DEVNULL,
+            )
         except OSError as error:  # no memory or no process for it: as one that dies at once
             self.service.count(f"{self.what} not started", str(error))
             ours.close()
@@ -137,8 +139,11 @@
         self.door.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, DOOR_BYTES)
         self.told, self.owed = set(), []
         handles = channel, theirs
-        return (Link(words.to_pilot, self.take, self.lost), handles,
-                [str(handle.fileno()) for handle in handles])
+        return (
+            Link(words.to_pilot, self.take, self.lost),
+            handles,
+            [str(handle.fileno()) for handle in handles],
+        )
 
     def opened(self, link: Link) -> None:
         link.tell(self.front.start)
@@ -180,15 +185,28 @@
         for row in message.servers:
             server = self.front.servers.get(row.number)
             if server is not None:
-                service.event(face.Heard(row.zone, server, row.tries, row.unanswered, row.latency, row.span,
-                                         row.load, row.kind))
+                service.event(
+                    face.Heard(
+                        row.zone, server, row.tries, row.unanswered, row.latency, row.span, row.load, row.kind
+                    )
+                )
         for row in message.slices:
             piece = slices[row.slice] if row.slice >= 0 else None
             proxy = None
             if row.proxy >= 0:
                 proxy = proxies.get(row.proxy) or service.proxy(row.proxy)
-            service.event(face.Demand(piece, proxy, operations[row.operation], row.tries, row.unanswered,
-                                      row.span, row.kind, row.lines))
+            service.event(
+                face.Demand(
+                    piece,
+                    proxy,
+                    operations[row.operation],
+                    row.tries,
+                    row.unanswered,
+                    row.span,
+                    row.kind,
+                    row.lines,
+                )
+            )
         self.owed.append(service.clock.now() - began)
         if not service.turn_due:
             self.front.resume()
@@ -266,10 +284,21 @@
         service.settings.elsewhere = block.search
         limits, part = service.limits, max(1, block.workers)
         shared = replace(
-            limits, collectors=-(-limits.collectors // part), strangers=-(-limits.strangers // part),
-            held=limits.held // part, portion=PORTION)
-        self.start = words.Start(service.config.told, asdict(shared), block.rows, block.wait,
-                                 part / block.share, block.sign, block.stale)
+            limits,
+            collectors=-(-limits.collectors // part),
+            strangers=-(-limits.strangers // part),
+            held=limits.held // part,
+            portion=PORTION,
+        )
+        self.start = words.Start(
+            service.config.told,
+            asdict(shared),
+            block.rows,
+            block.wait,
+            part / block.share,
+            block.sign,
+            block.stale,
+        )
 
     @property
     def lines(self) -> int:
@@ -325,8 +354,11 @@
         is named again is another, and reports on the old one must not reach it."""
         held, before = dict(self.service.registry.servers), self.counter
         self.made = self.service.registry.made
-        gone = [name for name, number in self.numbers.items()
-                if name not in held or held[name] is not self.servers.get(number)]
+        gone = [
+            name
+            for name, number in self.numbers.items()
+            if name not in held or held[name] is not self.servers.get(number)
+        ]
         for name in gone:
             del self.names[self.numbers.pop(name)]
         for name in held.keys() - self.numbers.keys():
--- a/flintreach/cores/worker.py
+++ b/flintreach/cores/worker.py
@@ -136,13 +136,31 @@
 
     def row(self, event, servers: list, slices: list) -> None:
         if isinstance(event, face.Demand):
-            slices.append(words.Slice(
-                event.slice.number if event.slice else -1, event.proxy.number if event.proxy else -1,
-                event.operation.place, event.tries, event.unanswered, event.span, event.kind, event.lines))
+            slices.append(
+                words.Slice(
+                    event.slice.number if event.slice else -1,
+                    event.proxy.number if event.proxy else -1,
+                    event.operation.place,
+                    event.tries,
+                    event.unanswered,
+                    event.span,
+                    event.kind,
+                    event.lines,
+                )
+            )
         elif event.server in self.numbers:
-            servers.append(words.Server(
-                self.numbers[event.server], event.zone, event.tries, event.unanswered, event.latency,
-                event.span, event.kind, event.load))
+            servers.append(
+                words.Server(
+                    self.numbers[event.server],
+                    event.zone,
+                    event.tries,
+                    event.unanswered,
+                    event.latency,
+                    event.span,
+                    event.kind,
+                    event.load,
+                )
+            )
 
     def beat(self) -> None:
         """Also the word by which a worker that hangs is known; a deciding process that does not read gets no
@@ -150,9 +168,16 @@
         if not self.link.transport.get_write_buffer_size():
             counts, gone, mates = self.counts, self.gone, self.clients.open
             self.counts, self.gone = {}, []
-            self.link.tell(words.Beat(counts, gone, len(self.fold), self.clients.lines,
-                                      time.process_time_ns(), (len(mates["stranger"]) + len(mates["asking"]),
-                                                               len(mates["collector"]))))
+            self.link.tell(
+                words.Beat(
+                    counts,
+                    gone,
+                    len(self.fold),
+                    self.clients.lines,
+                    time.process_time_ns(),
+                    (len(mates["stranger"]) + len(mates["asking"]), len(mates["collector"])),
+                )
+            )
         self.clock.after(self.told.sign, self.beat)
 
 
--- a/flintreach/evidence/block.py
+++ b/flintreach/evidence/block.py
@@ -21,6 +21,6 @@
         if not self.listen and not self.lines:
             raise ValueError("listen: expected an address here or in lines")
         if self.lines and self.accept != "any":
-            raise ValueError("lines: expected accept = \"any\", since lines carry no signature")
+            raise ValueError('lines: expected accept = "any", since lines carry no signature')
         if self.accept == "signed" and not self.keys:
             raise ValueError("keys: expected a file, since only signed datagrams are accepted")
--- a/flintreach/evidence/intake.py
+++ b/flintreach/evidence/intake.py
@@ -120,18 +120,26 @@
         self.states: dict[str, str] = {}  # as last said
         self.ends = []
         service.taps.append(self.tap)
-        service.tagged.append(lambda: [
-            (name, {"host": host}, value) for name, host, value in self.ledger.figures(service.clock.now())])
-        service.sources.append(lambda: {
-            "evidence.hosts": len(self.ledger.hosts),
-            "evidence.fresh": sum(host.state == "fresh" for host in self.ledger.hosts.values())})
+        service.tagged.append(
+            lambda: [
+                (name, {"host": host}, value)
+                for name, host, value in self.ledger.figures(service.clock.now())
+            ]
+        )
+        service.sources.append(
+            lambda: {
+                "evidence.hosts": len(self.ledger.hosts),
+                "evidence.fresh": sum(host.state == "fresh" for host in self.ledger.hosts.values()),
+            }
+        )
 
     async def start(self) -> None:
         loop = self.service.loop
         self.read_keys()
         if self.block.listen:
             transport, _ = await loop.create_datagram_endpoint(
-                lambda: Datagrams(self), address(self.block.listen))
+                lambda: Datagrams(self), address(self.block.listen)
+            )
             self.ends.append(transport)
             self.at = transport.get_extra_info("sockname")[:2]
             self.service.log.info("evidence: listening", at="{}:{}".format(*self.at))
@@ -179,8 +187,17 @@
             host, path, figure, time = packet.line(line.decode("utf-8", "replace"))
             name, _, instance = path[0].partition("-")
             kind, _, what = path[1].partition("-")
-            value = Value(host, name, instance, kind, what, time, self.block.interval * SECOND,
-                          (packet.GAUGE,), (figure,))
+            value = Value(
+                host,
+                name,
+                instance,
+                kind,
+                what,
+                time,
+                self.block.interval * SECOND,
+                (packet.GAUGE,),
+                (figure,),
+            )
             self.value(value, self.service.clock.now(), source)
         except Bad as error:
             self.count(str(error))
--- a/flintreach/evidence/ledger.py
+++ b/flintreach/evidence/ledger.py
@@ -103,7 +103,7 @@
         elif kind in (COUNTER, DERIVE):
             known = self.time and kind == self.kind
             gone = raw - self.raw
-            if known and kind == COUNTER and self.raw < 2**32 and gone < -2**31:
+            if known and kind == COUNTER and self.raw < 2**32 and gone < -(2**31):
                 gone += 2**32  # a counter of 32 bits that went round
             # One that fell otherwise began anew: what it counted since is not known.
             self.rate = gone / span if known and gone >= 0 else None
--- a/flintreach/evidence/packet.py
+++ b/flintreach/evidence/packet.py
@@ -16,11 +16,20 @@
 HOST, TIME, PLUGIN, PLUGIN_INSTANCE, TYPE, TYPE_INSTANCE, VALUES, INTERVAL = range(8)
 TIME_HR, INTERVAL_HR = 0x0008, 0x0009
 MESSAGE, SEVERITY, SIGNED, ENCRYPTED = 0x0100, 0x0101, 0x0200, 0x0210
-NAMES = {HOST: "host", PLUGIN: "plugin", PLUGIN_INSTANCE: "plugin_instance", TYPE: "type",
-         TYPE_INSTANCE: "type_instance"}
+NAMES = {
+    HOST: "host",
+    PLUGIN: "plugin",
+    PLUGIN_INSTANCE: "plugin_instance",
+    TYPE: "type",
+    TYPE_INSTANCE: "type_instance",
+}
 COUNTER, GAUGE, DERIVE, ABSOLUTE = range(4)
-READ = {COUNTER: struct.Struct(">Q"), GAUGE: struct.Struct("<d"), DERIVE: struct.Struct(">q"),
-        ABSOLUTE: struct.Struct(">Q")}
+READ = {
+    COUNTER: struct.Struct(">Q"),
+    GAUGE: struct.Struct("<d"),
+    DERIVE: struct.Struct(">q"),
+    ABSOLUTE: struct.Struct(">Q"),
+}
 HEAD, WORD, LONG = struct.Struct(">HH"), struct.Struct(">H"), struct.Struct(">Q")
 MAC, IV, SUM = 32, 16, 20  # bytes
 NAME = 128  # bytes of a name, at the most
@@ -56,7 +65,7 @@
         if length < HEAD.size or at + length > len(data):
             raise Bad("truncated")
         at += length
-        yield kind, data[at - length + HEAD.size:at], at
+        yield kind, data[at - length + HEAD.size : at], at
 
 
 def hold(data: bytes, keys: dict[str, str], open_to_all: bool) -> tuple[bytes, str | None]:
@@ -88,10 +97,10 @@
     at = WORD.size + length
     if len(content) < at + IV + SUM:
         raise Bad("truncated")
-    user = text(content[WORD.size:at], terminated=False)
+    user = text(content[WORD.size : at], terminated=False)
     if user not in keys:
         raise Bad("unknown user")
-    plain = cipher(keys[user], content[at:at + IV]).decryptor().update(content[at + IV:])
+    plain = cipher(keys[user], content[at : at + IV]).decryptor().update(content[at + IV :])
     if hashlib.sha1(plain[SUM:]).digest() != plain[:SUM]:
         raise Bad("does not decrypt")
     return plain[SUM:], user
@@ -130,7 +139,7 @@
     (count,) = WORD.unpack_from(content)
     if not count or len(content) != WORD.size + 9 * count:
         raise Bad("values and their number differ")
-    kinds = tuple(content[WORD.size:WORD.size + count])
+    kinds = tuple(content[WORD.size : WORD.size + count])
     if any(kind not in READ for kind in kinds):
         raise Bad("a value of no known type")
     rows = enumerate(kinds, 1)
--- a/flintreach/hutbook/book.py
+++ b/flintreach/hutbook/book.py
@@ -77,13 +77,31 @@
 
     def facts(self) -> dict[str, Any]:
         """What is news when it changes."""
-        return {"line": self.line, "addr": self.addr, "zone": self.zone, "berths": self.berths,
-                "edition": self.edition, "state": self.state}
+        return {
+            "line": self.line,
+            "addr": self.addr,
+            "zone": self.zone,
+            "berths": self.berths,
+            "edition": self.edition,
+            "state": self.state,
+        }
 
     def row(self, now: int) -> list:
         """As it is kept on disk and told to other refuges."""
-        return [self.id, self.line, self.addr, self.zone, self.berths, self.edition, self.state, self.seq,
-                self.phase, max(0, self.cold_until - now), self.rank, max(0, now - self.over_at)]
+        return [
+            self.id,
+            self.line,
+            self.addr,
+            self.zone,
+            self.berths,
+            self.edition,
+            self.state,
+            self.seq,
+            self.phase,
+            max(0, self.cold_until - now),
+            self.rank,
+            max(0, now - self.over_at),
+        ]
 
     @classmethod
     def of(cls, row: list, now: int) -> "Record":
@@ -91,14 +109,38 @@
         # Disks of earlier texts tell the rank by the state alone.
         rank, over = later or ({CLOSING: CLOSES, GONE: ENDS}.get(state, SERVES), 0)
         phase = min(phase, LOST)
-        return cls(id, line, addr, zone, berths, edition, rank, seq, phase, now, now + cold if cold else 0,
-                   now - over)
+        return cls(
+            id,
+            line,
+            addr,
+            zone,
+            berths,
+            edition,
+            rank,
+            seq,
+            phase,
+            now,
+            now + cold if cold else 0,
+            now - over,
+        )
 
     @classmethod
     def of_news(cls, id: str, version: list[int], told: dict[str, Any], now: int, age: int) -> "Record":
         rank, seq, phase = version
-        return cls(id, told["line"], told["addr"], told["zone"], told["berths"], told["edition"], rank, seq,
-                   phase, now, now + told["cold"] * MS if told["cold"] else 0, now - age)
+        return cls(
+            id,
+            told["line"],
+            told["addr"],
+            told["zone"],
+            told["berths"],
+            told["edition"],
+            rank,
+            seq,
+            phase,
+            now,
+            now + told["cold"] * MS if told["cold"] else 0,
+            now - age,
+        )
 
 
 class Book:
--- a/flintreach/lookout/roster.py
+++ b/flintreach/lookout/roster.py
@@ -42,8 +42,19 @@
         return self.ip, self.port
 
     def row(self) -> list:
-        return [self.name, self.role, self.ip, self.port, self.zone, self.region, self.posts, self.counted,
-                self.ready, self.life, self.state]
+        return [
+            self.name,
+            self.role,
+            self.ip,
+            self.port,
+            self.zone,
+            self.region,
+            self.posts,
+            self.counted,
+            self.ready,
+            self.life,
+            self.state,
+        ]
 
 
 @dataclass(slots=True)
@@ -127,8 +138,9 @@
 
     def join(self, addresses: list[tuple[str, int]]) -> list:
         sums = self.sums()
-        return [(address, self.message("join", 0, sums)) for address in addresses
-                if address != self.me.address]
+        return [
+            (address, self.message("join", 0, sums)) for address in addresses if address != self.me.address
+        ]
 
     def crowd(self, theirs: bytes) -> list[list]:
         """What one who believes `theirs` (see `sums`) is to be told: all of each bucket that differs.  Raises
@@ -145,8 +157,10 @@
         self.take([sender, *rows], now)
         if kind == "join":
             rows = self.crowd(*rest)
-            return [(source, ["crowd", 0, self.me.row(), rows[at:at + RIDERS]])
-                    for at in range(0, len(rows), RIDERS)]
+            return [
+                (source, ["crowd", 0, self.me.row(), rows[at : at + RIDERS]])
+                for at in range(0, len(rows), RIDERS)
+            ]
         if kind == "ping":
             return [(source, self.message("ack", number))]
         if kind == "ask":
--- a/flintreach/net/buffer.py
+++ b/flintreach/net/buffer.py
@@ -34,12 +34,12 @@
     def put(self, data: bytes) -> None:
         held = len(self)
         if self.end + len(data) > len(self.store):
-            self.store[:held] = self.store[self.start:self.end]
+            self.store[:held] = self.store[self.start : self.end]
             self.start, self.end, self.seen = 0, held, self.seen - self.start
             missing = held + len(data) - len(self.store)
             if missing > 0:
                 self.store.extend(bytes(max(missing, len(self.store))))
-        self.store[self.end:self.end + len(data)] = data
+        self.store[self.end : self.end + len(data)] = data
         self.end += len(data)
 
     def check(self) -> None:
@@ -48,7 +48,7 @@
 
     def lines(self) -> Iterator[bytes]:
         while (at := self.store.find(b"\n", self.seen, self.end)) >= 0:
-            line = bytes(self.store[self.start:at])
+            line = bytes(self.store[self.start : at])
             self.start = self.seen = at + 1
             if len(line) > self.most:
                 raise Overflow(f"{len(line)} bytes, {self.most} allowed")
@@ -62,6 +62,6 @@
 
     def take(self) -> bytes:
         """All that is held."""
-        data = bytes(self.store[self.start:self.end])
+        data = bytes(self.store[self.start : self.end])
         self.start = self.end = self.seen = 0
         return data
--- a/flintreach/net/clients.py
+++ b/flintreach/net/clients.py
@@ -24,8 +24,11 @@
     ("collector", "half a line"): ("dropped", "half a line"),
     ("stranger", "not understood"): ("dropped", "stranger not understood"),
     ("asking", "not understood"): ("dropped", "stranger not understood"),
-    **{(state, what): ("dropped", what) for state in ("stranger", "asking", "collector")
-       for what in ("unreadable", "long line", "reads nothing")},
+    **{
+        (state, what): ("dropped", what)
+        for state in ("stranger", "asking", "collector")
+        for what in ("unreadable", "long line", "reads nothing")
+    },
 }
 
 
@@ -174,8 +177,13 @@
         self.service.event(face.Demand(piece, proxy, operation, tries, unanswered, span))
 
 
-KINDS = {"probe": Client.probe, "agent": Client.agent, "outcomes": Client.outcomes, "hot": Client.demand,
-         "demand": Client.demand}
+KINDS = {
+    "probe": Client.probe,
+    "agent": Client.agent,
+    "outcomes": Client.outcomes,
+    "hot": Client.demand,
+    "demand": Client.demand,
+}
 
 
 class Clients:
@@ -190,16 +198,21 @@
     async def listen(self, at: str) -> tuple[str, int]:
         """Where it listens from now on."""
         service = self.service
-        self.server = await service.loop.create_server(lambda: Client(self), *address(at),
-                                                       backlog=service.limits.backlog)
+        self.server = await service.loop.create_server(
+            lambda: Client(self), *address(at), backlog=service.limits.backlog
+        )
         return self.server.sockets[0].getsockname()[:2]
 
     def end(self) -> None:
         """Connections end with the process."""
 
     def figures(self) -> dict[str, float]:
-        return {"clients.collectors": len(self.open["collector"]), "workers.serving": 0, "workers.waiting": 0,
-                "clients.strangers": len(self.open["stranger"]) + len(self.open["asking"])}
+        return {
+            "clients.collectors": len(self.open["collector"]),
+            "workers.serving": 0,
+            "workers.waiting": 0,
+            "clients.strangers": len(self.open["stranger"]) + len(self.open["asking"]),
+        }
 
     def add(self, client: Client) -> None:
         """The oldest stranger makes room for one, and the collector silent the longest for a collector:
--- a/flintreach/net/config.py
+++ b/flintreach/net/config.py
@@ -49,18 +49,22 @@
         seed = zlib.crc32(str(told.get("seed", "")).encode())
         nested = told["settings"]
         config = Config(
-            path=path, told=told,
-            name=variables.get("PROXY_NAME") or str(told.get("name", "")), seed=seed,
+            path=path,
+            told=told,
+            name=variables.get("PROXY_NAME") or str(told.get("name", "")),
+            seed=seed,
             listen=checked(variables.get("PROXY_LISTEN") or told["listen"]),
             discovery=checked(variables.get("PROXY_DISCOVERY") or told["discovery"]),
             store=checked(told["store"]["address"]),
             peer_listen=told.get("peer_listen") and checked(told["peer_listen"]),
             peers=[checked(peer) for peer in told.get("peers") or ()],
             peers_all=told.get("peers_all") and checked(told["peers_all"]),
-            known=told.get("known"), limits=Limits.of(told.get("limits") or {}),
+            known=told.get("known"),
+            limits=Limits.of(told.get("limits") or {}),
             settings=settings.read(seed, dict(settings.flat(nested))),
             zones={name: place for place, name in enumerate(nested.get("areas", ()))},
-            kinds={name: place for place, name in enumerate(nested.get("machine_types", ()))})
+            kinds={name: place for place, name in enumerate(nested.get("machine_types", ()))},
+        )
         if config.known:
             for row in config.known["endpoints"]:
                 roster.entry(row, config)
--- a/flintreach/net/limits.py
+++ b/flintreach/net/limits.py
@@ -52,5 +52,10 @@
         """
         sockets, memory = int(told.get("sockets", 1024)), int(told.get("memory_mb", 192)) << 20
         part = min(64, sockets // 8)
-        return cls(collectors=min(256, sockets // 4), strangers=part, probes=sockets // 8, held=memory // 4,
-                   body=min(8 << 20, memory // 16))
+        return cls(
+            collectors=min(256, sockets // 4),
+            strangers=part,
+            probes=sockets // 8,
+            held=memory // 4,
+            body=min(8 << 20, memory // 16),
+        )
--- a/flintreach/net/relay.py
+++ b/flintreach/net/relay.py
@@ -37,7 +37,11 @@
         match order:
             case face.SetLine(piece, server, weight):
                 return ("line", piece.number, names[server]), {
-                    "op": "SET", "table": piece.number, "target": names[server], "rps": weight}
+                    "op": "SET",
+                    "table": piece.number,
+                    "target": names[server],
+                    "rps": weight,
+                }
             case face.Clear(piece):
                 return ("table", piece.number), {"op": "DEL", "table": piece.number}
             case face.Withdraw(server, out):
@@ -68,9 +72,13 @@
     def forget(self, piece: int) -> None:
         """A slice is withdrawn or given anew: carried out after that, older orders would part its table from
         what the decisions have read of it."""
+
         def kept(orders: dict) -> dict:
-            return {key: told for key, told in orders.items()
-                    if key[0] not in ("line", "table", "level") or key[1] != piece}
+            return {
+                key: told
+                for key, told in orders.items()
+                if key[0] not in ("line", "table", "level") or key[1] != piece
+            }
 
         self.waiting = kept(self.waiting)
         if self.state == "doubt":
@@ -133,7 +141,7 @@
     def taken(self, number: int) -> None:
         keys = list(self.flight)
         self.service.news.ordered([self.flight[key] for key in keys[:number]])
-        rest = {key: self.flight[key] for key in keys[number + 1:]}
+        rest = {key: self.flight[key] for key in keys[number + 1 :]}
         if number < len(keys):
             self.service.log.warning("order refused by the relay", order=self.flight[keys[number]])
         self.flight, self.failures = {}, 0
@@ -157,8 +165,11 @@
 
     def settle(self, tables: dict[int, dict[str, float]]) -> None:
         """By the lines that the store holds; a call is carried out whole or not at all."""
-        lines = [(told["table"], told["target"], told["rps"]) for key, told in self.flight.items()
-                 if key[0] == "line" and key[1] in tables]
+        lines = [
+            (told["table"], told["target"], told["rps"])
+            for key, told in self.flight.items()
+            if key[0] == "line" and key[1] in tables
+        ]
         carried = bool(lines) and all(tables[n].get(name, 0) == rps for n, name, rps in lines)
         self.service.mode("relay calls", "settled", "carried out" if carried else "not carried out")
         if not carried:
@@ -178,8 +189,9 @@
         self.proxies, self.timer = set(), None
         self.piece, self.table = None, {}  # the slice whose lines are coming, and what has come
         self.silence = clock.limit(limits.silence, lambda: self.lost("silent"))
-        self.connection = Connection(clock, limits, self.service.store,
-                                     lambda how, status, body: self.lost(how), self.take)
+        self.connection = Connection(
+            clock, limits, self.service.store, lambda how, status, body: self.lost(how), self.take
+        )
         self.connection.call("GET", "/stream", limits.silence)
 
     def lost(self, why: str) -> None:
--- a/flintreach/net/roster.py
+++ b/flintreach/net/roster.py
@@ -16,9 +16,16 @@
     if not isinstance(row["name"], str):
         raise ValueError("a name is no text")
     address(row["address"])
-    return (row["name"], row["address"], config.zones[row["zone"]], config.kinds.get(row.get("type"), 0),
-            whole(row.get("group", 0)), STATES[row["status"]], float(figure(row.get("weight", 1.0))),
-            int(figure(row.get("since_ms", 0)) * MS))
+    return (
+        row["name"],
+        row["address"],
+        config.zones[row["zone"]],
+        config.kinds.get(row.get("type"), 0),
+        whole(row.get("group", 0)),
+        STATES[row["status"]],
+        float(figure(row.get("weight", 1.0))),
+        int(figure(row.get("since_ms", 0)) * MS),
+    )
 
 
 class Roster:
@@ -46,8 +53,9 @@
 
     def start(self) -> None:
         if self.on and not self.connection:
-            self.connection = Connection(self.service.clock, self.service.limits, self.service.discovery,
-                                         self.done)
+            self.connection = Connection(
+                self.service.clock, self.service.limits, self.service.discovery, self.done
+            )
             self.ask()
 
     def observe(self, on: bool) -> None:
--- a/flintreach/net/run.py
+++ b/flintreach/net/run.py
@@ -25,7 +25,7 @@
     def write(self, text: str) -> None:
         try:
             if any(event & select.POLLOUT for _, event in self.poll.poll(0)):
-                os.write(self.number, text.encode()[:select.PIPE_BUF])  # a pipe takes so much at once
+                os.write(self.number, text.encode()[: select.PIPE_BUF])  # a pipe takes so much at once
         except OSError:
             pass
 
@@ -35,9 +35,13 @@
 
 def logger(name: str):
     structlog.configure(
-        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
-                    structlog.processors.KeyValueRenderer(key_order=["timestamp", "level", "event"])],
-        logger_factory=structlog.WriteLoggerFactory(file=Sink(sys.stdout.fileno())))
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.KeyValueRenderer(key_order=["timestamp", "level", "event"]),
+        ],
+        logger_factory=structlog.WriteLoggerFactory(file=Sink(sys.stdout.fileno())),
+    )
     return structlog.get_logger(pilot=name)
 
 
--- a/flintreach/net/service.py
+++ b/flintreach/net/service.py
@@ -144,8 +144,11 @@
     def fault(self, loop, context: dict) -> None:
         """A fault of the transport ends one callback, and is never hidden."""
         error = context.get("exception")
-        self.log.error("fault in the transport", what=context.get("message"),
-                       trace="".join(traceback.format_exception(error)) if error else "")
+        self.log.error(
+            "fault in the transport",
+            what=context.get("message"),
+            trace="".join(traceback.format_exception(error)) if error else "",
+        )
 
     # Start and end.
 
@@ -197,7 +200,13 @@
 
     def stop(self, status: int) -> None:
         self.status = status
-        self.log.info("stopped", status=status, turns=self.turns, longest_ms=self.longest // 1_000_000,
-                      deepest=self.deepest, lines=self.clients.lines,
-                      **{what.replace(" ", "_"): number for what, number in self.counts.items()})
+        self.log.info(
+            "stopped",
+            status=status,
+            turns=self.turns,
+            longest_ms=self.longest // 1_000_000,
+            deepest=self.deepest,
+            lines=self.clients.lines,
+            **{what.replace(" ", "_"): number for what, number in self.counts.items()},
+        )
         self.loop.stop()
--- a/flintreach/operator.py
+++ b/flintreach/operator.py
@@ -43,6 +43,7 @@
         if type(value) is not int:
             raise ValueError
         return within(value, least, most)
+
     return told(default, read, f"a whole number from {least} to {most}")
 
 
@@ -51,6 +52,7 @@
         if type(value) not in (int, float) or math.isnan(value):
             raise ValueError
         return float(within(value, least, most))
+
     return told(default, read, f"a number from {least:g} to {most:g}")
 
 
@@ -73,15 +75,21 @@
 def duration(default: str, least: str, most: str):
     """A time such as "250ms"; its value is in whole nanoseconds."""
     low, high = scaled(least, UNITS), scaled(most, UNITS)
-    return told(scaled(default, UNITS), lambda text: within(scaled(text, UNITS), low, high),
-                f'a time such as "250ms", from {least} to {most}')
+    return told(
+        scaled(default, UNITS),
+        lambda text: within(scaled(text, UNITS), low, high),
+        f'a time such as "250ms", from {least} to {most}',
+    )
 
 
 def size(default: str, least: str, most: str):
     """A size such as "4MiB"; its value is in bytes."""
     low, high = scaled(least, SIZES), scaled(most, SIZES)
-    return told(scaled(default, SIZES), lambda text: within(scaled(text, SIZES), low, high),
-                f'a size such as "4MiB", from {least} to {most}')
+    return told(
+        scaled(default, SIZES),
+        lambda text: within(scaled(text, SIZES), low, high),
+        f'a size such as "4MiB", from {least} to {most}',
+    )
 
 
 def switch(default: bool):
@@ -89,6 +97,7 @@
         if type(value) is not bool:
             raise ValueError
         return value
+
     return told(default, read, "true or false")
 
 
@@ -97,21 +106,26 @@
         if type(value) is not str or not re.fullmatch(pattern, value):
             raise ValueError
         return value
+
     return told(default, read, expected)
 
 
 def table(default: dict):
     """Texts by names, such as { "host-1" = "s1" }."""
+
     def read(value: object) -> dict[str, str]:
         if not isinstance(value, dict) or not all(
-                type(name) is str and type(entry) is str and entry for name, entry in value.items()):
+            type(name) is str and type(entry) is str and entry for name, entry in value.items()
+        ):
             raise ValueError
         return {name.strip('"'): entry for name, entry in value.items()}
-    return told(default, read, "texts by names, { name = \"text\" }")
+
+    return told(default, read, 'texts by names, { name = "text" }')
 
 
 def place(default: str = ""):
     """An address by number and port: names are not looked up."""
+
     def read(value: object) -> str:
         if type(value) is not str:
             raise ValueError
@@ -119,6 +133,7 @@
         ipaddress.ip_address(host.strip("[]"))
         within(int(port), 0, 65535)
         return value
+
     return told(default, read, 'an address by number, such as "127.0.0.1:2003"')
 
 
--- a/flintreach/refuge/care.py
+++ b/flintreach/refuge/care.py
@@ -31,8 +31,12 @@
         plane, voters = self.plane, self.register.voters
         group = voters.members()
         answers = self.register.gather(
-            group, "stamps", voters.epoch,
-            lambda got: len(got) == len(group) or (least and voters.met(a for a, _ in got)), timeout)
+            group,
+            "stamps",
+            voters.epoch,
+            lambda got: len(got) == len(group) or (least and voters.met(a for a, _ in got)),
+            timeout,
+        )
         answers = [(address, held) for address, held in answers if isinstance(held, dict)]
         if not voters.met(address for address, _ in answers) or self.register.voters != voters:
             return False
--- a/flintreach/refuge/control.py
+++ b/flintreach/refuge/control.py
@@ -14,8 +14,14 @@
 from flintreach.waymark.log import say
 from flintreach.waymark.timetable import ConfigError, check
 
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 409: "Conflict",
-           413: "Content Too Large", 503: "Service Unavailable"}
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    409: "Conflict",
+    413: "Content Too Large",
+    503: "Service Unavailable",
+}
 # A configuration goes through links inside a message that also holds other keys: far below what ends a link.
 LARGE, SMALL = link.MOST // 2, 64 << 10  # bytes of a configuration; of any other body
 AGAIN_S = "0.2"  # Retry-After: another refuge may answer at once
@@ -24,10 +30,13 @@
 SLEPT, ALONE, TIMED, LEFT = "slept", "out of touch", "late", "caller gone"
 UNSURE = 503, {"fault": "no majority in time"}
 ORDERS = {
-    timetable.TAKEN: (200, {}), timetable.AGAIN: (200, {}), timetable.OVERTAKEN: (200, {}),
+    timetable.TAKEN: (200, {}),
+    timetable.AGAIN: (200, {}),
+    timetable.OVERTAKEN: (200, {}),
     timetable.OTHER: (409, {"fault": "edition: another content was acknowledged under this number"}),
     timetable.FORGOTTEN: (503, {"fault": "edition: too old to tell which content it had"}),
-    LATE: UNSURE, DROPPED: (503, {"fault": "given up before anything was changed"}),
+    LATE: UNSURE,
+    DROPPED: (503, {"fault": "given up before anything was changed"}),
 }
 
 
@@ -91,8 +100,14 @@
             return 404, {"fault": "no such call"}
         most = LARGE if name == "put" else SMALL
         try:
-            call = Call(name, segments, environ["QUERY_STRING"], body_of(environ, most),
-                        self.plane.host.now(), environ[GONE])
+            call = Call(
+                name,
+                segments,
+                environ["QUERY_STRING"],
+                body_of(environ, most),
+                self.plane.host.now(),
+                environ[GONE],
+            )
         except TooLarge:
             return 413, {"fault": f"body: at most {most} bytes"}
         except CutShort as error:
@@ -185,5 +200,6 @@
 
 
 def listen(address: tuple[str, int], plane, names: set[str]) -> pywsgi.WSGIServer:
-    return pywsgi.WSGIServer(address, Control(plane, names), log=None, error_log=None, backlog=256,
-                             handler_class=Handler)
+    return pywsgi.WSGIServer(
+        address, Control(plane, names), log=None, error_log=None, backlog=256, handler_class=Handler
+    )
--- a/flintreach/refuge/endpoints.py
+++ b/flintreach/refuge/endpoints.py
@@ -47,8 +47,12 @@
         now, known = self.host.now_ns(), [id for id in ids if id in self.book.records]
         for id in known:
             record = self.book.records[id]
-            self.plane.board.offer(f"hut/{id}", record.version, record.told(now),
-                                   (now - record.over_at) / SECOND if record.state == GONE else 0.0)
+            self.plane.board.offer(
+                f"hut/{id}",
+                record.version,
+                record.told(now),
+                (now - record.over_at) / SECOND if record.state == GONE else 0.0,
+            )
         return self.write(known)
 
     def write(self, ids: list[str], facts: dict[str, str] | None = None) -> bool:
@@ -79,7 +83,8 @@
         if record.durable >= rank:
             return True
         answers = self.plane.register.poll(
-            kind, body, ACK_S, mine=lambda: (kept.result(ACK_S), self.hold(id, rank) or None)[1])
+            kind, body, ACK_S, mine=lambda: (kept.result(ACK_S), self.hold(id, rank) or None)[1]
+        )
         if answers is None:
             return False
         record.durable = max(record.durable, rank)
@@ -144,8 +149,11 @@
             return None
         now = self.host.now_ns()
         ids = sorted(id for id in self.book.records if id > after)[:MOST_ROWS]
-        return [[self.book.records[id].row(now) for id in ids], ids[-1] if len(ids) == MOST_ROWS else "",
-                self.plane.news_age() <= ALONE_S]
+        return [
+            [self.book.records[id].row(now) for id in ids],
+            ids[-1] if len(ids) == MOST_ROWS else "",
+            self.plane.news_age() <= ALONE_S,
+        ]
 
     # What others know.
 
@@ -168,8 +176,9 @@
         At a start, and whenever this disk comes to vote: a fact that was acknowledged before must be on a
         quorum of those that vote now.
         """
-        answers = self.plane.register.poll("book", [""], timeout, self.ask_book,
-                                           lambda: [[], False] if self.complete else None)
+        answers = self.plane.register.poll(
+            "book", [""], timeout, self.ask_book, lambda: [[], False] if self.complete else None
+        )
         if answers is None:
             return False
         now, at_work = self.host.now_ns(), set()
--- a/flintreach/refuge/keys.py
+++ b/flintreach/refuge/keys.py
@@ -90,8 +90,12 @@
         client._connection_pool.after_connect = connected  # the pool's own hook, meant to be overridden
         try:
             with gevent.Timeout(0.95):
-                answer = client.request("POST", PATHS[kind], msgspec.json.encode(body),
-                                        {"Content-Type": "application/json", "X-Expect-Endpoint": r.holder})
+                answer = client.request(
+                    "POST",
+                    PATHS[kind],
+                    msgspec.json.encode(body),
+                    {"Content-Type": "application/json", "X-Expect-Endpoint": r.holder},
+                )
                 answer.read()
                 return answer.status_code, answer.get("x-handover")
         except Late:
--- a/flintreach/refuge/orders.py
+++ b/flintreach/refuge/orders.py
@@ -87,6 +87,7 @@
         The order has no number: one that was delayed must not act after a later one.  Ballots see to it from
         the prepares on, as a later order's are higher; `still` is for what comes before, while it lay unread.
         """
+
         def made(old):
             number, zones = UNPACK(old) if old else (0, {})
             if old and bool(zones.get(zone)) == on:
--- a/flintreach/refuge/placing.py
+++ b/flintreach/refuge/placing.py
@@ -34,8 +34,10 @@
         self.leans: dict[str, Lean] = {}
         self.stays, self.stays_at = {}, 0.0  # host -> region of its clients, looked up now and then
         self.ridge = Ridge(zlib.crc32(plane.node.sender.node_name.encode()))
-        plane.bundle.handlers |= {"counts": lambda link, body: self.hear_tally(body),
-                                  "warmth": lambda link, body: self.warmth.hear(body)}
+        plane.bundle.handlers |= {
+            "counts": lambda link, body: self.hear_tally(body),
+            "warmth": lambda link, body: self.warmth.hear(body),
+        }
 
     def hear_tally(self, body) -> None:
         self.tally.add(body)
@@ -46,14 +48,19 @@
         busy = self.warmth.at_work({r.id: float(r.berths) for r in warm})
         lean = self.leans.setdefault(line, Lean())
         factors = lean.weigh(self.region_of(line)[0], berths, busy)
-        return {r.id: (r.berths * factors.get(region[r.id], 1.0) if r in warm or not warm else 0.0, r.addr)
-                for r in found}
+        return {
+            r.id: (r.berths * factors.get(region[r.id], 1.0) if r in warm or not warm else 0.0, r.addr)
+            for r in found
+        }
 
     def keyed(self, line: str):
         """Endpoints that may hold keys, those that are warm or hold some, their regions; berths by region."""
         away, now, zones = self.plane.away(), self.host.now_ns(), self.plane.node.network.zones
-        found = [r for r in self.plane.book.records.values()
-                 if r.line == line and r.state == READY and r.zone not in away]
+        found = [
+            r
+            for r in self.plane.book.records.values()
+            if r.line == line and r.state == READY and r.zone not in away
+        ]
         holders = {row[2] for row in self.plane.board.get(f"bunks/{line}") or ()}
         # One that has just started is cold, and would get all requests on its keys at once.
         warm = [r for r in found if r.cold_until <= now or r.id in holders]
@@ -66,8 +73,11 @@
     def region_of(self, line: str) -> tuple[str | None, float]:
         """Where the keys of a service are to lie, None where its clients come from everywhere; and which part
         of them lies there."""
-        homes = [self.homes(host) for host, routes in self.plane.routes.hosts.items()
-                 if any(line == name for route in routes for name, _ in route.services)]
+        homes = [
+            self.homes(host)
+            for host, routes in self.plane.routes.hosts.items()
+            if any(line == name for route in routes for name, _ in route.services)
+        ]
         if not homes or None in homes or len(set.union(*homes)) > 1:
             return None, 0.0
         _, _, region, berths = self.keyed(line)
@@ -76,8 +86,11 @@
             place = region.get(holder, "")
             keys[place] = keys.get(place, 0.0) + (high - low + 1) / KEYS
         found = target(set.union(*homes), keys, berths)
-        links = [float(m.posts.get("mbps", 0)) for m in self.plane.roster.alive("bothy")
-                 if m.region == found and m.ready]
+        links = [
+            float(m.posts.get("mbps", 0))
+            for m in self.plane.roster.alive("bothy")
+            if m.region == found and m.ready
+        ]
         if not carried(self.warmth.bytes.get(line), links):
             return None, 0.0
         return found, keys.get(found, 0.0)
@@ -93,12 +106,19 @@
             for name, depot in self.plane.routes.depots.items():
                 if depot.sharded and name not in self.keepers:
                     tell = lambda version, rows, name=name: self.plane.board.offer(  # noqa: E731
-                        f"bunks/{name}", version, rows)
+                        f"bunks/{name}", version, rows
+                    )
                     node = self.plane.node
                     self.keepers[name] = Keeper(
-                        node.sender.node_name, name, self.plane.register, node.bounds.hold_cap_ms,
-                        lambda name=name: self.able(name), self.plane.endpoints.ended, tell,
-                        lambda name=name: self.warmth.of(name))
+                        node.sender.node_name,
+                        name,
+                        self.plane.register,
+                        node.bounds.hold_cap_ms,
+                        lambda name=name: self.able(name),
+                        self.plane.endpoints.ended,
+                        tell,
+                        lambda name=name: self.warmth.of(name),
+                    )
             for name, keeper in self.keepers.items():
                 keeper.tick()
 
@@ -128,8 +148,12 @@
             if told := self.warmth.take(body):
                 for address in self.plane.peers():  # whoever keeps the keys of a service divides them by it
                     self.host.spawn(self.plane.bundle.ask, address, "warmth", told, 0.8)
-            plain = [(f"{route.name} {line}", line, route.homes) for route in routes.all
-                     for line, _ in route.services if not routes.depots[line].sharded]
+            plain = [
+                (f"{route.name} {line}", line, route.homes)
+                for route in routes.all
+                for line, _ in route.services
+                if not routes.depots[line].sharded
+            ]
             number = self.plane.board.get("map", 0)
             self.ridge.slices(plain, self.plane.board.under("slice/"))
             self.ridge.heard(body["came"] if body else {}, self.host.now_ns())
@@ -141,9 +165,18 @@
     def places(self, load) -> list[Place]:
         now, away = self.host.now_ns(), self.plane.away()
         zones = self.plane.node.network.zones
-        return [Place(r.id, r.line, zones.get(r.zone, ""), r.berths, r.cold_until > now,
-                      load[r.id][0] / load[r.id][1] if r.id in load else None)
-                for r in self.plane.book.records.values() if r.state == READY and r.zone not in away]
+        return [
+            Place(
+                r.id,
+                r.line,
+                zones.get(r.zone, ""),
+                r.berths,
+                r.cold_until > now,
+                load[r.id][0] / load[r.id][1] if r.id in load else None,
+            )
+            for r in self.plane.book.records.values()
+            if r.state == READY and r.zone not in away
+        ]
 
     def remap(self, number: int, known: set[str], changed: dict[str, list[str]]) -> None:
         def step(old):
--- a/flintreach/refuge/plane.py
+++ b/flintreach/refuge/plane.py
@@ -26,8 +26,15 @@
     """`roster`: who is known, with `alive(role)`; `seeds()`: addresses to join by, as settings name them now;
     `on_begin()`: called once, when callers may be answered."""
 
-    def __init__(self, node: Node, bundle, store, roster, seeds: Callable[[], list],
-                 on_begin: Callable[[], None] = lambda: None):
+    def __init__(
+        self,
+        node: Node,
+        bundle,
+        store,
+        roster,
+        seeds: Callable[[], list],
+        on_begin: Callable[[], None] = lambda: None,
+    ):
         self.node, self.bundle, self.host, self.store, self.roster = node, bundle, bundle.host, store, roster
         self.seeds, self.on_begin = seeds, on_begin
         self.first_run = node.sender.first_run
@@ -100,8 +107,14 @@
 
     def start(self) -> None:
         self.relay.start()
-        for loop in (self.watch, self.care.sweep, self.mesh.run, self.endpoints.look, self.placing.keys,
-                     self.placing.run):
+        for loop in (
+            self.watch,
+            self.care.sweep,
+            self.mesh.run,
+            self.endpoints.look,
+            self.placing.keys,
+            self.placing.run,
+        ):
             self.host.spawn(loop)
 
     # What callers may ask (see `control.Control`).
@@ -110,21 +123,42 @@
         """Rows of one view, as `flintreach show` prints them; None for a view that there is not."""
         now = self.host.now_ns()
         if what == "members":
-            return [{"name": m.name, "role": m.role, "zone": m.zone, "address": f"{m.ip}:{m.port}",
-                     "ready": m.ready, "state": ("alive", "suspected", "dead", "left")[m.state]}
-                    for m in sorted(self.roster.members.values(), key=lambda m: m.name)]
+            return [
+                {
+                    "name": m.name,
+                    "role": m.role,
+                    "zone": m.zone,
+                    "address": f"{m.ip}:{m.port}",
+                    "ready": m.ready,
+                    "state": ("alive", "suspected", "dead", "left")[m.state],
+                }
+                for m in sorted(self.roster.members.values(), key=lambda m: m.name)
+            ]
         if what == "endpoints":
-            return [{"id": r.id, "line": r.line, "addr": r.addr, "zone": r.zone, "state": r.state,
-                     "berths": r.berths, "cold_ms": max(0, r.cold_until - now) // 1_000_000,
-                     "heard_ms": (now - r.heard) // 1_000_000}
-                    for r in sorted(self.book.records.values(), key=lambda r: (r.line, r.id))]
+            return [
+                {
+                    "id": r.id,
+                    "line": r.line,
+                    "addr": r.addr,
+                    "zone": r.zone,
+                    "state": r.state,
+                    "berths": r.berths,
+                    "cold_ms": max(0, r.cold_until - now) // 1_000_000,
+                    "heard_ms": (now - r.heard) // 1_000_000,
+                }
+                for r in sorted(self.book.records.values(), key=lambda r: (r.line, r.id))
+            ]
         if what == "tables":
-            return [{"slice": name, "endpoints": len(ids), "ids": " ".join(ids)}
-                    for name, ids in sorted(self.board.under("slice/").items())]
+            return [
+                {"slice": name, "endpoints": len(ids), "ids": " ".join(ids)}
+                for name, ids in sorted(self.board.under("slice/").items())
+            ]
         if what == "keys":
-            return [{"line": line, "from": low, "to": high, "holder": holder, "state": state}
-                    for line, rows in sorted(self.board.under("bunks/").items())
-                    for low, high, holder, state in rows]
+            return [
+                {"line": line, "from": low, "to": high, "holder": holder, "state": state}
+                for line, rows in sorted(self.board.under("bunks/").items())
+                for low, high, holder, state in rows
+            ]
         if what == "traffic":
             return self.bundle.traffic()
         if what == "voters":
@@ -133,13 +167,21 @@
             now = self.host.now()
             refused = sorted(self.refusals.items(), key=lambda row: -row[1][0])
             ages = sorted(self.contact.asked.items())
-            return [{"node": self.node.sender.node_name, "ready": self.serving,
-                     "edition": f"{self.routes.number:08x}" if self.routes else "",
-                     "refused": ", ".join(f"{count} {reason} ({now - at:.1f} s ago)"
-                                          for reason, (count, at) in refused),
-                     "refused_by_disk": self.register.refused, "sleeps": self.awake.sleeps,
-                     "disks": len(self.group), "votes": self.register.votes(),
-                     "contact_s": round(self.contact_age(), 1),
-                     "contacts_s": " ".join(f"{ip} {now - at:.1f}" for (ip, _), at in ages),
-                     "evacuated": " ".join(sorted(self.away()))}]
+            return [
+                {
+                    "node": self.node.sender.node_name,
+                    "ready": self.serving,
+                    "edition": f"{self.routes.number:08x}" if self.routes else "",
+                    "refused": ", ".join(
+                        f"{count} {reason} ({now - at:.1f} s ago)" for reason, (count, at) in refused
+                    ),
+                    "refused_by_disk": self.register.refused,
+                    "sleeps": self.awake.sleeps,
+                    "disks": len(self.group),
+                    "votes": self.register.votes(),
+                    "contact_s": round(self.contact_age(), 1),
+                    "contacts_s": " ".join(f"{ip} {now - at:.1f}" for (ip, _), at in ages),
+                    "evacuated": " ".join(sorted(self.away())),
+                }
+            ]
         return None
--- a/flintreach/refuge/program.py
+++ b/flintreach/refuge/program.py
@@ -30,8 +30,17 @@
         address = node.inner(POST)
         self.bundle = Bundle(address)
         store = Store(me.store_dir, me.node_name, me.first_run) if me.store_dir else None
-        member = Member(me.node_name, ROLE, *address, me.zone, me.region, dict(node.network.posts),
-                        me.counted, False, int(time.time() * 1000))
+        member = Member(
+            me.node_name,
+            ROLE,
+            *address,
+            me.zone,
+            me.region,
+            dict(node.network.posts),
+            me.counted,
+            False,
+            int(time.time() * 1000),
+        )
         self.lookout = Lookout(member, self.known)
         self.plane = ControlPlane(node, self.bundle, store, self.lookout.roster, self.seeds, self.begin)
         self.bundle.handlers["show"] = lambda link, what: self.plane.show(what)
--- a/flintreach/refuge/voting.py
+++ b/flintreach/refuge/voting.py
@@ -38,8 +38,9 @@
             if m.role == ROLE and m.counted:
                 alive, leaving = m.state <= SUSPECTED, now < self.leaving.get(m.address, 0.0)
                 if alive or m.address not in found:  # a successor may have the address of one that is dead
-                    found[m.address] = Disk(m.address, m.zone, m.region, alive=alive,
-                                            leaving=leaving or m.state == LEFT)
+                    found[m.address] = Disk(
+                        m.address, m.zone, m.region, alive=alive, leaving=leaving or m.state == LEFT
+                    )
         unmet = [address for address in self.register.group if address not in found]
         if now - self.began > UNMET_S:
             found |= {address: Disk(address, "?", "?", alive=False) for address in unmet}
@@ -55,13 +56,23 @@
         is told dead is asked as well: news of a death may be wrong, and one that answers must not be
         replaced."""
         register, group = self.register, self.register.group
-        others = [a for a, disk in disks.items() if not disk.leaving and (
-            not disk.alive if outside and a in group else disk.alive)]
-        answers = register.gather(others, "disk", register.voters.epoch if outside else None,
-                                  lambda got: len(got) == len(others), 0.3)
+        others = [
+            a
+            for a, disk in disks.items()
+            if not disk.leaving and (not disk.alive if outside and a in group else disk.alive)
+        ]
+        answers = register.gather(
+            others,
+            "disk",
+            register.voters.epoch if outside else None,
+            lambda got: len(got) == len(others),
+            0.3,
+        )
         told = {address: answer for address, answer in answers if answer}
-        return [self.with_word(disk, *told[address]) if address in told else disk
-                for address, disk in disks.items()]
+        return [
+            self.with_word(disk, *told[address]) if address in told else disk
+            for address, disk in disks.items()
+        ]
 
     @staticmethod
     def with_word(disk: Disk, life: str, caught: bool) -> Disk:
@@ -97,8 +108,12 @@
     def tell(self) -> None:
         voters = self.register.voters
         self.told = voters.epoch
-        say("voters", epoch=voters.epoch, votes=self.register.votes(),
-            sets=[[f"{ip}:{port}" for ip, port in sorted(one)] for one in voters.sets])
+        say(
+            "voters",
+            epoch=voters.epoch,
+            votes=self.register.votes(),
+            sets=[[f"{ip}:{port}" for ip, port in sorted(one)] for one in voters.sets],
+        )
 
     # Later.
 
@@ -125,8 +140,9 @@
     def is_due(self, voters: Voters) -> bool:
         """Whether something is to be done, and it is this refuge's turn to do it."""
         disks, now = self.disks(), self.host.now()
-        self.wish = voters if voters.joint else wanted(voters, self.hoped(disks), self.losses,
-                                                       now - self.seen_at)
+        self.wish = (
+            voters if voters.joint else wanted(voters, self.hoped(disks), self.losses, now - self.seen_at)
+        )
         if self.wish is None:
             self.due = -1
             return False
@@ -139,8 +155,10 @@
 
     def hoped(self, disks: dict[Address, Disk]) -> list[Disk]:
         """The disks as if all outside had caught up: that is asked only where something could come of it."""
-        return [disk if address in self.register.group else self.with_word(disk, "", True)
-                for address, disk in disks.items()]
+        return [
+            disk if address in self.register.group else self.with_word(disk, "", True)
+            for address, disk in disks.items()
+        ]
 
     def go_on(self, voters: Voters) -> None:
         if voters.joint:
@@ -167,8 +185,9 @@
         until = now + max(HANDOVER_S, self.plane.node.bounds.grace_s - SPARE_S)
         self.leaving[me] = until + SPARE_S
         peers = self.plane.peers()
-        self.plane.bundle.gather(peers, "leaving", [list(me), self.leaving[me] - now],
-                                 lambda got: len(got) == len(peers), 0.3)
+        self.plane.bundle.gather(
+            peers, "leaving", [list(me), self.leaving[me] - now], lambda got: len(got) == len(peers), 0.3
+        )
         while self.host.now() < until:
             voters = self.register.voters
             if me not in self.register.group:
@@ -196,18 +215,34 @@
         voters, disks = self.register.voters, self.disks()
         told = {disk.address: disk for disk in self.asked(disks, False)}
         forced = self.plane.store.facts.get("forced", "") if self.plane.store else ""
-        wish = "" if self.wish is None else " and ".join(
-            " ".join(sorted(f"{ip}:{port}" for ip, port in one)) for one in self.wish.sets)
+        wish = (
+            ""
+            if self.wish is None
+            else " and ".join(" ".join(sorted(f"{ip}:{port}" for ip, port in one)) for one in self.wish.sets)
+        )
         rows = []
         for address in sorted({*voters.members(), *disks}):
             disk, lives = told.get(address), sorted(voters.lives(address))
-            inside = [name for name, one in (("old", voters.old), ("new", voters.new))
-                      if address in dict(one)]
-            rows.append({
-                "epoch": voters.epoch, "address": f"{address[0]}:{address[1]}",
-                "set": " ".join(inside) if voters.joint else "votes" if inside else "",
-                "life": " ".join(lives), "told_life": disk.life if disk else "",
-                "state": "unknown" if not disk else "leaving" if disk.leaving else
-                         "alive" if disk.alive else "dead",
-                "caught_up": bool(disk and disk.caught), "wanted": wish, "forced": forced})
+            inside = [
+                name for name, one in (("old", voters.old), ("new", voters.new)) if address in dict(one)
+            ]
+            rows.append(
+                {
+                    "epoch": voters.epoch,
+                    "address": f"{address[0]}:{address[1]}",
+                    "set": " ".join(inside) if voters.joint else "votes" if inside else "",
+                    "life": " ".join(lives),
+                    "told_life": disk.life if disk else "",
+                    "state": "unknown"
+                    if not disk
+                    else "leaving"
+                    if disk.leaving
+                    else "alive"
+                    if disk.alive
+                    else "dead",
+                    "caught_up": bool(disk and disk.caught),
+                    "wanted": wish,
+                    "forced": forced,
+                }
+            )
         return rows
--- a/flintreach/ridge/place.py
+++ b/flintreach/ridge/place.py
@@ -88,8 +88,11 @@
         if full:
             self.full_at = now + EVERY
         for line in sorted({unit.line for unit in self.units.values()}):
-            units = [unit for unit in self.units.values()
-                     if unit.line == line and unit.since and now - unit.since >= YOUNG]
+            units = [
+                unit
+                for unit in self.units.values()
+                if unit.line == line and unit.since and now - unit.since >= YOUNG
+            ]
             here = sorted((place for place in places if place.line == line), key=lambda place: place.id)
             if units and len(here) > 1:
                 yield from self.line(line, units, here, full, now)
@@ -104,8 +107,10 @@
         if not total:
             return
         at = {place.id: x for x, place in enumerate(here)}
-        bars = [{x for x, place in enumerate(here) if unit.homes and place.region not in unit.homes}
-                for unit in units] + [set()]
+        bars = [
+            {x for x, place in enumerate(here) if unit.homes and place.region not in unit.homes}
+            for unit in units
+        ] + [set()]
         amounts, old, changed = [], [set() for _ in here], []
         for p, unit in enumerate(units):
             demand = 100 * len(here) * unit.rate / total
--- a/flintreach/rope/bundle.py
+++ b/flintreach/rope/bundle.py
@@ -68,8 +68,15 @@
         except (OSError, Closed):
             return None
 
-    def gather(self, addresses: list[tuple[str, int]], kind: str, body: Any, enough: Callable[[list], bool],
-               timeout: float = 1.0, ask: Callable | None = None) -> list:
+    def gather(
+        self,
+        addresses: list[tuple[str, int]],
+        kind: str,
+        body: Any,
+        enough: Callable[[list], bool],
+        timeout: float = 1.0,
+        ask: Callable | None = None,
+    ) -> list:
         """Answers of several, in the order of arrival, until `enough(answers)` holds or time is up.
 
         `body`: what is said, or a function of the address that gives it; `ask`: by what, if not by
--- a/flintreach/rope/link.py
+++ b/flintreach/rope/link.py
@@ -111,7 +111,7 @@
     def read(self) -> None:
         try:
             while not self.closed:
-                size, = HEAD.unpack(self.exactly(4))
+                (size,) = HEAD.unpack(self.exactly(4))
                 if size > MOST:
                     raise ValueError
                 number, kind, body = UNPACK.decode(self.exactly(size))
@@ -181,8 +181,13 @@
             told(self)
 
 
-def dial(address: tuple[str, int], handlers: dict[str, Callable], timeout: float = 1.0,
-         mute_ms: int = 1500, meter: Meter | None = None) -> Link:
+def dial(
+    address: tuple[str, int],
+    handlers: dict[str, Callable],
+    timeout: float = 1.0,
+    mute_ms: int = 1500,
+    meter: Meter | None = None,
+) -> Link:
     """A link to another pilot.  Raises OSError."""
     sock = socket.create_connection(address, timeout=timeout)
     sock.settimeout(None)
--- a/flintreach/rope/meter.py
+++ b/flintreach/rope/meter.py
@@ -27,5 +27,7 @@
         names = "kind", "out", "out_bytes", "in", "in_bytes"
         held = sorted(self.kinds.items(), key=lambda item: -item[1][1] - item[1][3])
         rows = [dict(zip(names, (kind, *row))) for kind, row in held]
-        return rows + [dict(zip(names, (f"fault: {name}", 0, 0, count, 0)))
-                       for name, count in sorted(self.faults.items())]
+        return rows + [
+            dict(zip(names, (f"fault: {name}", 0, 0, count, 0)))
+            for name, count in sorted(self.faults.items())
+        ]
--- a/flintreach/settings.py
+++ b/flintreach/settings.py
@@ -6,8 +6,14 @@
 from flintreach import interface as face
 
 EFFECTS = {"read_like": "idempotent", "idempotency_key": "fingerprinted", "non_idempotent": "side-effecting"}
-LOADS = {"active": "inflight", "waiting": "queue", "cpu": "util", "avg_ms": "latency_ms", "rps": "qps",
-         "err_rps": "eps"}
+LOADS = {
+    "active": "inflight",
+    "waiting": "queue",
+    "cpu": "util",
+    "avg_ms": "latency_ms",
+    "rps": "qps",
+    "err_rps": "eps",
+}
 
 
 def nanoseconds(text: str) -> int:
@@ -60,20 +66,33 @@
 
     time, real = nanoseconds, float
     for name, path, kind in (
-        ("number", "me", whole), ("pilots", "balancers", whole), ("zone", "az", whole),
-        ("weights", "weights", str), ("tick", "tick", time),
-        ("proxies", "specifics.proxies", whole), ("exclusive", "specifics.exclusive", truth),
-        ("ask_within", "invariants.ask_within", time), ("cold_share", "invariants.cold_from", real),
-        ("warm_up", "invariants.warm_up", time), ("drain_grace", "invariants.drain_grace", time),
-        ("fall_multiple", "invariants.fall_multiple", real), ("fall_window", "invariants.tip_after", time),
+        ("number", "me", whole),
+        ("pilots", "balancers", whole),
+        ("zone", "az", whole),
+        ("weights", "weights", str),
+        ("tick", "tick", time),
+        ("proxies", "specifics.proxies", whole),
+        ("exclusive", "specifics.exclusive", truth),
+        ("ask_within", "invariants.ask_within", time),
+        ("cold_share", "invariants.cold_from", real),
+        ("warm_up", "invariants.warm_up", time),
+        ("drain_grace", "invariants.drain_grace", time),
+        ("fall_multiple", "invariants.fall_multiple", real),
+        ("fall_window", "invariants.tip_after", time),
         ("only_draining_binds", "invariants.drain_binds_alone", truth),
-        ("bare_limit", "specifics.bare", time), ("channel_pace", "specifics.channel_rate", real),
-        ("channel_limit", "specifics.backlog", real), ("message_head", "specifics.overhead", real),
+        ("bare_limit", "specifics.bare", time),
+        ("channel_pace", "specifics.channel_rate", real),
+        ("channel_limit", "specifics.backlog", real),
+        ("message_head", "specifics.overhead", real),
         ("messages_most", "specifics.messages_most", whole),
-        ("messages_window", "specifics.update_window", time), ("transit", "specifics.propagation", time),
-        ("transit_most", "specifics.transit_max", time), ("period", "specifics.cycle", time),
-        ("sums_pace", "specifics.reports_per_s", real), ("admits_by", "specifics.admission", str),
-        ("choice", "specifics.choice", str), ("probes", "policy_limits.probes", truth),
+        ("messages_window", "specifics.update_window", time),
+        ("transit", "specifics.propagation", time),
+        ("transit_most", "specifics.transit_max", time),
+        ("period", "specifics.cycle", time),
+        ("sums_pace", "specifics.reports_per_s", real),
+        ("admits_by", "specifics.admission", str),
+        ("choice", "specifics.choice", str),
+        ("probes", "policy_limits.probes", truth),
         ("tells", "policy_limits.may_tell", truth),
     ):
         take(name, path, kind)
@@ -85,15 +104,25 @@
     writes = config.get("specifics.writers", "").split(",")
     home = config.get("specifics.home_only", "").split(",")
     for place in range(whole(config.get("request_classes.count", "0"))):
+
         def of(key: str, default: str, place: int = place) -> str:
             return config.get(f"request_classes.{place}.{key}", default)
 
         def marked(values: list[str], place: int = place) -> bool:
             return place < len(values) and truth(values[place])
 
-        told.operations.append(face.Operation(
-            name=of("name", str(place)), place=place, objective=time(of("objective", "1")),
-            integration_timeout=time(of("hard_limit", "4")), billed_value=real(of("worth", "1")),
-            effect=EFFECTS.get(of("idempotency", ""), "side-effecting"), group=of("group", "all"),
-            window=time(of("repeat_window", "0")), writes=marked(writes), home_only=marked(home)))
+        told.operations.append(
+            face.Operation(
+                name=of("name", str(place)),
+                place=place,
+                objective=time(of("objective", "1")),
+                integration_timeout=time(of("hard_limit", "4")),
+                billed_value=real(of("worth", "1")),
+                effect=EFFECTS.get(of("idempotency", ""), "side-effecting"),
+                group=of("group", "all"),
+                window=time(of("repeat_window", "0")),
+                writes=marked(writes),
+                home_only=marked(home),
+            )
+        )
     return told
--- a/flintreach/standins/adversary.py
+++ b/flintreach/standins/adversary.py
@@ -16,8 +16,13 @@
 from gevent.server import StreamServer
 
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close that resets
-REFUSALS = {"400": "400 Bad Request", "408": "408 Request Timeout", "421": "421 Misdirected Request",
-            "429": "429 Too Many Requests", "503": "503 Service Unavailable"}
+REFUSALS = {
+    "400": "400 Bad Request",
+    "408": "408 Request Timeout",
+    "421": "421 Misdirected Request",
+    "429": "429 Too Many Requests",
+    "503": "503 Service Unavailable",
+}
 
 
 @dataclass(slots=True)
@@ -55,7 +60,7 @@
         while len(self.buffer) < size:
             if not self.more():
                 return None
-        asked.body = bytes(self.buffer[at + 4:size])
+        asked.body = bytes(self.buffer[at + 4 : size])
         del self.buffer[:size]
         return asked
 
@@ -117,13 +122,21 @@
 
     def write(self, line: Line, data: bytes) -> None:
         for at in range(0, len(data), self.portion):
-            line.sock.sendall(data[at:at + self.portion])
+            line.sock.sendall(data[at : at + self.portion])
             gevent.sleep(0)
 
     # What is said.
 
-    def reply(self, asked: Asked, status: str = "200 OK", *more: str, id: str | None = "", body: bytes | None
-              = None, stamp: bool = True, framed: bool = True) -> bytes:
+    def reply(
+        self,
+        asked: Asked,
+        status: str = "200 OK",
+        *more: str,
+        id: str | None = "",
+        body: bytes | None = None,
+        stamp: bool = True,
+        framed: bool = True,
+    ) -> bytes:
         """An answer; `id` None: without one."""
         body = text(asked, self.id) if body is None else body
         rows = [f"HTTP/1.1 {status}", *more]
@@ -173,7 +186,7 @@
 
 def cut(it: Adversary, asked: Asked, line: Line):
     data = it.runs(asked)
-    return data[:len(data) * 2 // 3], False
+    return data[: len(data) * 2 // 3], False
 
 
 def silent(it: Adversary, asked: Asked, line: Line, runs: bool = True):
@@ -204,9 +217,11 @@
 
 def run_and(data: bytes, stays: bool = False):
     """Run it and say `data` in place of an answer."""
+
     def act(it, asked, line):
         it.runs(asked)
         return data, stays
+
     return act
 
 
@@ -223,15 +238,21 @@
     "chunked": chunked,
     "interim": interim,
     "empty": answers("204 No Content", body=b"", framed=False),
-    "empty with a length": lambda it, asked, line: (it.runs(asked, "204 No Content", body=b"").replace(
-        b"Content-Length: 0", b"Content-Length: 7"), True),
+    "empty with a length": lambda it, asked, line: (
+        it.runs(asked, "204 No Content", body=b"").replace(b"Content-Length: 0", b"Content-Length: 7"),
+        True,
+    ),
     "no length": lambda it, asked, line: (it.runs(asked, framed=False), asked.method == "HEAD"),
     "odd load": answers("200 OK", "X-Endpoint-Load: \xb2,0,1", "Keep-Alive: timeout=\xb2"),
-    "long numbers": answers("200 OK", f"X-Endpoint-Load: 1,2,{'9' * 5000}",
-                            f"Keep-Alive: timeout={'9' * 5000}"),
+    "long numbers": answers(
+        "200 OK", f"X-Endpoint-Load: 1,2,{'9' * 5000}", f"Keep-Alive: timeout={'9' * 5000}"
+    ),
     "hop": answers("200 OK", "Connection: X-Postmark, X-Try-Id, keep-alive"),
     "head with body": with_body,
-    "503": refuses("503"), "429": refuses("429"), "421": refuses("421"), "400": refuses("400"),
+    "503": refuses("503"),
+    "429": refuses("429"),
+    "421": refuses("421"),
+    "400": refuses("400"),
     "refused twice": refused_twice,
     "bare 503": answers("503 Service Unavailable", body=b"busy", stamp=False),
     "bare 429": answers("429 Too Many Requests", body=b"busy", stamp=False),
@@ -242,8 +263,12 @@
     "reset": reset,
     "close": run_and(b""),
     "cut": cut,
-    "never whole": lambda it, asked, line: (it.runs(asked).replace(b"Content-Length: ", b"Content-Length: 9")
-                                            if asked.method != "HEAD" else it.runs(asked), True),
+    "never whole": lambda it, asked, line: (
+        it.runs(asked).replace(b"Content-Length: ", b"Content-Length: 9")
+        if asked.method != "HEAD"
+        else it.runs(asked),
+        True,
+    ),
     "surplus": surplus,
     "surplus later": surplus_later,
     "earlier": lambda it, asked, line: later(line, it.last, it.runs(asked)),
@@ -251,10 +276,13 @@
     "other id": answers(id="another"),
     "many others": lambda it, asked, line: (12 * it.runs(asked, id="another"), True),
     "no id": answers(id=None),
-    "two ids": lambda it, asked, line: (it.runs(asked).replace(
-        b"X-Postmark", b"X-Try-Id: another\r\nX-Postmark"), True),
+    "two ids": lambda it, asked, line: (
+        it.runs(asked).replace(b"X-Postmark", b"X-Try-Id: another\r\nX-Postmark"),
+        True,
+    ),
     "id in the trailer": lambda it, asked, line: chunked(
-        it, asked, line, f"X-Try-Id: {asked.id}\r\nX-Postmark: t\r\n", id=None),
+        it, asked, line, f"X-Try-Id: {asked.id}\r\nX-Postmark: t\r\n", id=None
+    ),
     "no stamp": answers(stamp=False),
     "encoded": answers("200 OK", "Content-Encoding: gzip"),
     "encoded on its way": lambda it, asked, line: chunked(it, asked, line, coding="deflate, chunked"),
--- a/flintreach/standins/camp.py
+++ b/flintreach/standins/camp.py
@@ -24,14 +24,36 @@
 ZONES = {"north-a": "north", "north-b": "north", "south-a": "south"}
 TIMETABLE = {
     "edition": "00000001",
-    "wickets": [{"destination": "camp.example", "regulations": [
-        {"name": "look", "kind": "safe", "target_ms": 800, "sorting": {"postcode": "/look/"},
-         "dispatch": {"line": "desk", "deadline_ms": 3000, "tries": 2}},
-        {"name": "file", "kind": "unsafe", "target_ms": 800, "sorting": {"postcode": "/file/"},
-         "dispatch": {"line": "desk", "deadline_ms": 3000, "tries": 2}},
-        {"name": "fetch", "kind": "outbound_post", "target_ms": 800, "sorting": {"postcode": "/fetch/"},
-         "dispatch": {"line": "store", "deadline_ms": 3000, "tries": 2}}]}],
-    "depots": [{"name": "desk"}, {"name": "store", "sharded": True}]}
+    "wickets": [
+        {
+            "destination": "camp.example",
+            "regulations": [
+                {
+                    "name": "look",
+                    "kind": "safe",
+                    "target_ms": 800,
+                    "sorting": {"postcode": "/look/"},
+                    "dispatch": {"line": "desk", "deadline_ms": 3000, "tries": 2},
+                },
+                {
+                    "name": "file",
+                    "kind": "unsafe",
+                    "target_ms": 800,
+                    "sorting": {"postcode": "/file/"},
+                    "dispatch": {"line": "desk", "deadline_ms": 3000, "tries": 2},
+                },
+                {
+                    "name": "fetch",
+                    "kind": "outbound_post",
+                    "target_ms": 800,
+                    "sorting": {"postcode": "/fetch/"},
+                    "dispatch": {"line": "store", "deadline_ms": 3000, "tries": 2},
+                },
+            ],
+        }
+    ],
+    "depots": [{"name": "desk"}, {"name": "store", "sharded": True}],
+}
 
 
 @dataclass
@@ -49,8 +71,9 @@
     def start(self) -> None:
         environ = {**os.environ, "FLINTREACH_NODE_FILE": os.path.join(self.folder, "node.yaml")}
         with open(os.path.join(self.folder, "log"), "ab") as log:
-            self.process = subprocess.Popen([sys.executable, "-m", "flintreach", self.role], env=environ,
-                                            stdout=log, stderr=log)
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "flintreach", self.role], env=environ, stdout=log, stderr=log
+            )
 
     def end(self, how=signal.SIGKILL) -> None:
         if self.process is not None and self.process.poll() is None:
@@ -62,8 +85,15 @@
 class Camp:
     """`base`: three numbers of the loopback network, such as "127.41.7"; `port`: the first of six used."""
 
-    def __init__(self, base: str, port: int, refuges: int = 3, bothies: int = 3, folder: str | None = None,
-                 first_run: bool = True):
+    def __init__(
+        self,
+        base: str,
+        port: int,
+        refuges: int = 3,
+        bothies: int = 3,
+        folder: str | None = None,
+        first_run: bool = True,
+    ):
         self.base, self.port, self.own = base, port, folder is None
         self.folder = folder or tempfile.mkdtemp(prefix="flintreach-camp-")
         names, self.machines, self.endpoints = [*ZONES], [], []
@@ -71,8 +101,15 @@
         for number in range(refuges + bothies):
             role = "refuge" if number < refuges else "bothy"
             zone = names[(number if role == "refuge" else number - refuges) % len(names)]
-            self.machines.append(Machine(f"{role}-{number}", role, f"{base}.{number + 1}", zone,
-                                         os.path.join(self.folder, f"{role}-{number}")))
+            self.machines.append(
+                Machine(
+                    f"{role}-{number}",
+                    role,
+                    f"{base}.{number + 1}",
+                    zone,
+                    os.path.join(self.folder, f"{role}-{number}"),
+                )
+            )
         for machine in self.machines:
             self.settle(machine, first_run)
 
@@ -86,15 +123,27 @@
         names = {"control": 0, "directory": 1} if refuge else {"front": 2, "ready": 3}
         machine.posts = {name: at(number) for name, number in names.items()}
         os.makedirs(os.path.join(machine.folder, "disk"), exist_ok=True)
-        node = {"sender": {"node_name": machine.name, "ip": machine.ip, "zone": machine.zone,
-                           "region": ZONES[machine.zone], "post_role": machine.role, "counted": refuge,
-                           "first_run": first_run, "serves": [*machine.posts],
-                           "store_dir": os.path.join(machine.folder, "disk") if refuge else None},
-                "network": {"posts": machine.posts, "spare_ports": [self.port + 4, self.port + 5],
-                            "seed_nodes": [f"{m.ip}:{self.port}" for m in self.of("refuge")][:3],
-                            "zones": ZONES},
-                "carrier": {"report_ms": 500},
-                "tariffs": {"losses": self.losses}}
+        node = {
+            "sender": {
+                "node_name": machine.name,
+                "ip": machine.ip,
+                "zone": machine.zone,
+                "region": ZONES[machine.zone],
+                "post_role": machine.role,
+                "counted": refuge,
+                "first_run": first_run,
+                "serves": [*machine.posts],
+                "store_dir": os.path.join(machine.folder, "disk") if refuge else None,
+            },
+            "network": {
+                "posts": machine.posts,
+                "spare_ports": [self.port + 4, self.port + 5],
+                "seed_nodes": [f"{m.ip}:{self.port}" for m in self.of("refuge")][:3],
+                "zones": ZONES,
+            },
+            "carrier": {"report_ms": 500},
+            "tariffs": {"losses": self.losses},
+        }
         with open(os.path.join(machine.folder, "node.yaml"), "w", encoding="utf-8") as file:
             yaml.safe_dump(node, file)
 
@@ -121,11 +170,18 @@
     def put(self, timetable: dict, until: float) -> bool:
         """Put a configuration at any refuge that takes it; `until`: steady seconds."""
         body = json.dumps(timetable).encode()
-        return self.wait(lambda: any(told(ip, port, "/v1/timetable/put", body, 2.0)
-                                     for ip, port in self.control()), until)
-
-    def ask(self, machine: Machine, target: str, method: str = "GET", headers: dict | None = None,
-            body: bytes = b""):
+        return self.wait(
+            lambda: any(told(ip, port, "/v1/timetable/put", body, 2.0) for ip, port in self.control()), until
+        )
+
+    def ask(
+        self,
+        machine: Machine,
+        target: str,
+        method: str = "GET",
+        headers: dict | None = None,
+        body: bytes = b"",
+    ):
         """One request to a bothy: (status, body, headers by lower name), or None if it does not answer."""
         host, port = machine.posts["front"].split(":")
         client = HTTPClient(host, int(port), connection_timeout=0.5, network_timeout=5.0)
@@ -170,8 +226,9 @@
             return 1
         first, refuge = camp.of("bothy")[0], camp.of("refuge")[0]
         good = lambda path, **more: (camp.ask(first, path, headers=more) or (0,))[0] == 200  # noqa: E731
-        served = camp.wait(lambda: good("/look/1") and good("/fetch/1", **{"X-Shard-Key": "7"}),
-                           time.monotonic() + 30)
+        served = camp.wait(
+            lambda: good("/look/1") and good("/fetch/1", **{"X-Shard-Key": "7"}), time.monotonic() + 30
+        )
         front = first.posts["front"]
         print(f"{refuges} refuges, {bothies} bothies, {desks + stores} endpoints; logs under {camp.folder}")
         print(f"  curl -H 'Host: camp.example' http://{front}/look/7")
--- a/flintreach/standins/collectd.py
+++ b/flintreach/standins/collectd.py
@@ -27,8 +27,9 @@
     return part(packet.VALUES, body + b"".join(packet.READ[kind].pack(value) for kind, value in rows))
 
 
-def cpu(host: str, time: int, idle: float, interval: int = 10 * SECOND, processors: int = 1,
-        high: bool = True) -> bytes:
+def cpu(
+    host: str, time: int, idle: float, interval: int = 10 * SECOND, processors: int = 1, high: bool = True
+) -> bytes:
     """One round of the plugin cpu in percent; `idle` of all processors, `time` in nanoseconds."""
     head = name(packet.HOST, host)
     if high:
@@ -44,12 +45,25 @@
     return head
 
 
-def series(host: str, time: int, plugin: str, kind: str, *rows: tuple[int, float], instance: str = "",
-           interval: int = 10 * SECOND) -> bytes:
+def series(
+    host: str,
+    time: int,
+    plugin: str,
+    kind: str,
+    *rows: tuple[int, float],
+    instance: str = "",
+    interval: int = 10 * SECOND,
+) -> bytes:
     """One value list of any plugin."""
-    return (name(packet.HOST, host) + number(packet.TIME_HR, (time << 30) // SECOND + 1)
-            + number(packet.INTERVAL_HR, (interval << 30) // SECOND) + name(packet.PLUGIN, plugin)
-            + name(packet.TYPE, kind) + name(packet.TYPE_INSTANCE, instance) + values(*rows))
+    return (
+        name(packet.HOST, host)
+        + number(packet.TIME_HR, (time << 30) // SECOND + 1)
+        + number(packet.INTERVAL_HR, (interval << 30) // SECOND)
+        + name(packet.PLUGIN, plugin)
+        + name(packet.TYPE, kind)
+        + name(packet.TYPE_INSTANCE, instance)
+        + values(*rows)
+    )
 
 
 def signed(content: bytes, user: str, key: str) -> bytes:
--- a/flintreach/standins/collectors.py
+++ b/flintreach/standins/collectors.py
@@ -13,21 +13,35 @@
 AGENT = '{"msg":"agent","site":"%s"}\n'
 
 
-def lines(servers: int, slices: int, number: int, seed: int, site: str = "north",
-          mix: float = 0.5) -> list[bytes]:
+def lines(
+    servers: int, slices: int, number: int, seed: int, site: str = "north", mix: float = 0.5
+) -> list[bytes]:
     """Lines as a collector sends them: `mix` of them on servers, the others on slices."""
     rnd = random.Random(seed)
     rates = [rnd.lognormvariate(1.5, 0.8) for _ in range(slices)]
     found = []
     for place in range(number):
         if place < number * mix:
-            told = {"msg": "outcomes", "site": site, "target": f"s{rnd.randrange(servers)}",
-                    "count": rnd.randrange(5, 60), "fail": 0, "mean": round(rnd.uniform(20, 60), 1),
-                    "over": 1000.0, "util": {"cpu": round(rnd.uniform(0.2, 0.5), 2)}}
+            told = {
+                "msg": "outcomes",
+                "site": site,
+                "target": f"s{rnd.randrange(servers)}",
+                "count": rnd.randrange(5, 60),
+                "fail": 0,
+                "mean": round(rnd.uniform(20, 60), 1),
+                "over": 1000.0,
+                "util": {"cpu": round(rnd.uniform(0.2, 0.5), 2)},
+            }
         else:
             piece = rnd.randrange(slices)
-            told = {"msg": "hot", "range": piece, "lane": "look", "count": 1 + int(rates[piece]), "fail": 0,
-                    "over": 1000.0}
+            told = {
+                "msg": "hot",
+                "range": piece,
+                "lane": "look",
+                "count": 1 + int(rates[piece]),
+                "fail": 0,
+                "over": 1000.0,
+            }
         found.append(json.dumps(told, separators=(",", ":")).encode() + b"\n")
     rnd.shuffle(found)
     return found
@@ -59,22 +73,30 @@
             self.held_back += number
             return
         while number > 0:
-            part = self.pool[self.place:self.place + number]
+            part = self.pool[self.place : self.place + number]
             self.transport.write(b"".join(part))
             self.sent += len(part)
             number -= len(part)
             self.place = (self.place + len(part)) % len(self.pool)
 
 
-async def load(at: tuple[str, int], connections: int, rate: float, seconds: float, pool: list[bytes],
-               site: str = "north", step: float = 0.005) -> dict:
+async def load(
+    at: tuple[str, int],
+    connections: int,
+    rate: float,
+    seconds: float,
+    pool: list[bytes],
+    site: str = "north",
+    step: float = 0.005,
+) -> dict:
     """`rate` lines a second over all connections; what is due is counted from the clock, so a late sender
     catches up.  Gives lines sent in the second half, and those held back."""
     loop = asyncio.get_running_loop()
     senders = []
     for place in range(connections):
         _, sender = await loop.create_connection(
-            lambda place=place: Sender(site, pool, place * len(pool) // connections), *at)
+            lambda place=place: Sender(site, pool, place * len(pool) // connections), *at
+        )
         senders.append(sender)
     began, done, half = time.monotonic(), 0, None
     while (gone := time.monotonic() - began) < seconds:
@@ -86,9 +108,12 @@
             half = sum(sender.sent for sender in senders), time.monotonic()
         await asyncio.sleep(step)
     sent, end = sum(sender.sent for sender in senders), time.monotonic()
-    told = {"sent": sent, "rate": (sent - half[0]) / (end - half[1]),
-            "held_back": sum(sender.held_back for sender in senders),
-            "resets": sum(sender.resets for sender in senders)}
+    told = {
+        "sent": sent,
+        "rate": (sent - half[0]) / (end - half[1]),
+        "held_back": sum(sender.held_back for sender in senders),
+        "resets": sum(sender.resets for sender in senders),
+    }
     for sender in senders:
         sender.transport.abort()
     return told
@@ -139,8 +164,16 @@
             place = count % len(self.ports)
             if self.told[place]:
                 self.missed += 1
-            line = {"msg": "outcomes", "site": site, "target": f"s{first + place}", "count": 10, "fail": 5,
-                    "mean": 30.0, "over": 1000.0, "util": {"cpu": 0.3}}
+            line = {
+                "msg": "outcomes",
+                "site": site,
+                "target": f"s{first + place}",
+                "count": 10,
+                "fail": 5,
+                "mean": 30.0,
+                "over": 1000.0,
+                "util": {"cpu": 0.3},
+            }
             if sender.transport.is_closing():  # as a collector, it dials again
                 self.missed += sum(map(bool, self.told))
                 self.told, self.again = [0] * len(self.told), self.again + 1
--- a/flintreach/standins/endpoint.py
+++ b/flintreach/standins/endpoint.py
@@ -65,8 +65,19 @@
 class Endpoint:
     """One life of an endpoint.  `control()`: addresses (ip, port) to which it may beat."""
 
-    def __init__(self, line, address, zone, control, work_s=0.05, berths=4, queue=8, sharded=False,
-                 report_s=0.5, cold_s=0.0):
+    def __init__(
+        self,
+        line,
+        address,
+        zone,
+        control,
+        work_s=0.05,
+        berths=4,
+        queue=8,
+        sharded=False,
+        report_s=0.5,
+        cold_s=0.0,
+    ):
         self.id, self.line, self.zone, self.control = f"i-{uuid.uuid4().hex[:8]}", line, zone, control
         self.address, self.work_s, self.berths, self.queue = address, work_s, berths, queue
         self.sharded, self.report_s, self.held = sharded, report_s, Held()
@@ -149,10 +160,21 @@
 
     def beat(self) -> bool:
         cold = max(0, int((self.cold_until - time.monotonic()) * 1000))
-        return self.tell(f"/v1/endpoints/{self.id}/check-in", msgspec.json.encode({
-            "line": self.line, "addr": f"{self.address[0]}:{self.address[1]}", "zone": self.zone,
-            "edition": "v1", "berths": self.berths, "state": self.state, "cold_left_ms": cold,
-            "call_seq": next(self.seq)}))
+        return self.tell(
+            f"/v1/endpoints/{self.id}/check-in",
+            msgspec.json.encode(
+                {
+                    "line": self.line,
+                    "addr": f"{self.address[0]}:{self.address[1]}",
+                    "zone": self.zone,
+                    "edition": "v1",
+                    "berths": self.berths,
+                    "state": self.state,
+                    "cold_left_ms": cold,
+                    "call_seq": next(self.seq),
+                }
+            ),
+        )
 
     def report(self) -> None:
         while True:
--- a/flintreach/standins/graphite.py
+++ b/flintreach/standins/graphite.py
@@ -56,8 +56,8 @@
         found = []
         if self.protocol == "pickle":
             while len(held) >= 4 and len(held) >= 4 + (size := struct.unpack("!L", held[:4])[0]):
-                found += [(name, value, when) for name, (when, value) in pickle.loads(held[4:4 + size])]
-                held = held[4 + size:]
+                found += [(name, value, when) for name, (when, value) in pickle.loads(held[4 : 4 + size])]
+                held = held[4 + size :]
         else:
             *whole, held = held.split(b"\n")
             for line in whole:
--- a/flintreach/standins/peer.py
+++ b/flintreach/standins/peer.py
@@ -27,13 +27,13 @@
         size = [int(line[15:]) for line in head.split("\r\n") if line.lower().startswith("content-length:")]
         while size and len(self.held) < size[0]:
             self.held += self.sock.recv(65536)
-        body, self.held = (self.held[:size[0]], self.held[size[0]:]) if size else (b"", self.held)
+        body, self.held = (self.held[: size[0]], self.held[size[0] :]) if size else (b"", self.held)
         self.orders = json.loads(body)["changes"] if body else []
         return self
 
     def send(self, data, piece=None):
         for at in range(0, len(data), piece or len(data)):
-            self.sock.sendall(data[at:at + (piece or len(data))])
+            self.sock.sendall(data[at : at + (piece or len(data))])
 
     def answer(self, body, status="200 OK", piece=None):
         body = body if isinstance(body, bytes) else json.dumps(body).encode()
--- a/flintreach/standins/platform.py
+++ b/flintreach/standins/platform.py
@@ -3,22 +3,54 @@
 
 def told(servers=4, slices=8, proxies=3, **changes):
     """A configuration as the platform writes it."""
-    operations = [{"name": name, "objective": 1.0, "hard_limit": 3.0, "worth": worth, "idempotency": effect}
-                  for name, worth, effect in (("look", 1.0, "read_like"), ("book", 5.0, "non_idempotent"))]
-    settings = {"me": 0, "balancers": 2, "areas": ["north", "south"], "machine_types": ["m1", "m2"], "az": 1,
-                "tick": 0.001, "discovery": "pushed", "report": {"fields": ["cpu", "waiting"]},
-                "request_classes": operations, "policy_limits": {"probes": True, "may_tell": True},
-                "invariants": {"warm_up": 10.0, "cold_from": 0.2, "drain_grace": 3.0},
-                "specifics": {"ranges": slices, "proxies": proxies, "backlog": 8000.0, "channel_rate": 4000.0,
-                              "messages_most": 20, "admission": "share"}}
-    return {"name": "p0", "seed": "5eed", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
-            "store": {"address": "127.0.0.1:9"}, "limits": {"sockets": 256, "memory_mb": 192},
-            "known": listing(servers), "settings": settings} | changes
+    operations = [
+        {"name": name, "objective": 1.0, "hard_limit": 3.0, "worth": worth, "idempotency": effect}
+        for name, worth, effect in (("look", 1.0, "read_like"), ("book", 5.0, "non_idempotent"))
+    ]
+    settings = {
+        "me": 0,
+        "balancers": 2,
+        "areas": ["north", "south"],
+        "machine_types": ["m1", "m2"],
+        "az": 1,
+        "tick": 0.001,
+        "discovery": "pushed",
+        "report": {"fields": ["cpu", "waiting"]},
+        "request_classes": operations,
+        "policy_limits": {"probes": True, "may_tell": True},
+        "invariants": {"warm_up": 10.0, "cold_from": 0.2, "drain_grace": 3.0},
+        "specifics": {
+            "ranges": slices,
+            "proxies": proxies,
+            "backlog": 8000.0,
+            "channel_rate": 4000.0,
+            "messages_most": 20,
+            "admission": "share",
+        },
+    }
+    return {
+        "name": "p0",
+        "seed": "5eed",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:9",
+        "store": {"address": "127.0.0.1:9"},
+        "limits": {"sockets": 256, "memory_mb": 192},
+        "known": listing(servers),
+        "settings": settings,
+    } | changes
 
 
 def row(number, status="up", **changes):
-    return {"name": f"s{number}", "address": f"127.0.0.1:{9000 + number}", "zone": "north", "type": "m2",
-            "group": 1, "status": status, "weight": 1.0, "since_ms": 0} | changes
+    return {
+        "name": f"s{number}",
+        "address": f"127.0.0.1:{9000 + number}",
+        "zone": "north",
+        "type": "m2",
+        "group": 1,
+        "status": status,
+        "weight": 1.0,
+        "since_ms": 0,
+    } | changes
 
 
 def listing(servers=4, index=1, snapshot=True, **rows):
@@ -29,6 +61,8 @@
     """What a news connection opens with: proxies, then each slice with its line."""
     items = [("hello", {"id": n, "site": "south", "rps": 2.0, "new": new}) for n in range(proxies)]
     for n in range(slices):
-        items += [("lease", {"range": n, "flag": True}),
-                  ("line", {"range": n, "target": spread(n), "rps": 1.0})]
+        items += [
+            ("lease", {"range": n, "flag": True}),
+            ("line", {"range": n, "target": spread(n), "rps": 1.0}),
+        ]
     return items
--- a/flintreach/standins/program.py
+++ b/flintreach/standins/program.py
@@ -32,8 +32,10 @@
         self.start()
 
     def write(self):
-        self.config |= {"store": {"address": "{}:{}".format(*self.relay.getsockname())},
-                        "discovery": "{}:{}".format(*self.discovery.listener.getsockname())}
+        self.config |= {
+            "store": {"address": "{}:{}".format(*self.relay.getsockname())},
+            "discovery": "{}:{}".format(*self.discovery.listener.getsockname()),
+        }
         self.path.write_text(json.dumps(self.config))
 
     def move(self, answer=None):
@@ -49,8 +51,12 @@
         variables |= {"FLINTREACH_OPERATOR": str(self.own)} if self.own else {}
         allowed = os.sched_getaffinity(0)
         os.sched_setaffinity(0, self.cores or allowed)  # a child begins with ours
-        self.process = subprocess.Popen([sys.executable, "-m", "flintreach", "serve"], stdout=subprocess.PIPE,
-                                        env=os.environ | variables, cwd=self.tree)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "flintreach", "serve"],
+            stdout=subprocess.PIPE,
+            env=os.environ | variables,
+            cwd=self.tree,
+        )
         os.sched_setaffinity(0, allowed)
         self.text, self.lines = "", []
         line = self.logged("listening")
--- a/flintreach/standins/relay.py
+++ b/flintreach/standins/relay.py
@@ -59,8 +59,10 @@
         self.transport.write(f"HTTP/1.1 {status}\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
 
     def tell(self, *items) -> None:
-        lines = b"".join(json.dumps({"type": item[0], "object": item[1]} if item else {}).encode() + b"\n"
-                         for item in items)
+        lines = b"".join(
+            json.dumps({"type": item[0], "object": item[1]} if item else {}).encode() + b"\n"
+            for item in items
+        )
         self.transport.write(b"%x\r\n%s\r\n" % (len(lines), lines))
 
     def reset(self) -> None:
@@ -171,8 +173,12 @@
             if call.done and call.fault != "short":
                 for order in call.orders:
                     name, table = order.get("target"), tables.setdefault(order.get("table"), {})
-                    nothing = {"SET": order.get("rps") == table.get(name, 0), "OUT": name in out,
-                               "IN": name not in out, "SYNC": order.get("stamp") in marks}
+                    nothing = {
+                        "SET": order.get("rps") == table.get(name, 0),
+                        "OUT": name in out,
+                        "IN": name not in out,
+                        "SYNC": order.get("stamp") in marks,
+                    }
                     if nothing.get(order["op"]):
                         found.append(f"call {place}: {order}")
                     if order["op"] == "SET":
--- a/flintreach/standins/simulated.py
+++ b/flintreach/standins/simulated.py
@@ -553,8 +553,12 @@
 
     def landed(self, here: Machine, there: Machine, data: bytes) -> None:
         process = there.process
-        if ((here.ip, there.ip) not in self.cuts and there.powered and process is not None
-                and process.on_datagram):
+        if (
+            (here.ip, there.ip) not in self.cuts
+            and there.powered
+            and process is not None
+            and process.on_datagram
+        ):
             self.sim.mark(data)
             process.do(process.on_datagram, data, here)
 
@@ -608,8 +612,14 @@
     def keep(self, slots, facts=None, huts=None) -> bool:
         waiter = Waiter(self.process)
         # As it stands now: its caller may go on changing what it handed over.
-        self.pending.append(({key: s and Slot(s.promised, s.accepted, s.value) for key, s in slots.items()},
-                             {**(facts or {})}, {**(huts or {})}, waiter))
+        self.pending.append(
+            (
+                {key: s and Slot(s.promised, s.accepted, s.value) for key, s in slots.items()},
+                {**(facts or {})},
+                {**(huts or {})},
+                waiter,
+            )
+        )
         if self.writing is None:
             self.begin()
         return waiter.wait(None)
--- a/flintreach/standins/simulated_callers.py
+++ b/flintreach/standins/simulated_callers.py
@@ -87,8 +87,13 @@
         put = self.watch.sent(number, numbered(number, self.salt, self.site.shape.sharded))
         self.old.append(put)
         began = self.sim.now
-        done = self.insist("POST", "/v1/timetable/put", put.body,
-                           lambda status, who: self.watch.answered(put, status, who), seconds)
+        done = self.insist(
+            "POST",
+            "/v1/timetable/put",
+            put.body,
+            lambda status, who: self.watch.answered(put, status, who),
+            seconds,
+        )
         if not put.refused:
             self.within(f"configuration {number}", began, done)
         return done
@@ -105,8 +110,13 @@
 
     def evacuate(self, zone: str, on: bool, seconds: float) -> bool:
         order = self.watch.evacuation(zone, on)
-        done = self.insist("POST", f"/v1/evacuate/{zone}/{'start' if on else 'finish'}", b"",
-                           lambda status, who: self.watch.evacuated(zone, order, status, who), seconds)
+        done = self.insist(
+            "POST",
+            f"/v1/evacuate/{zone}/{'start' if on else 'finish'}",
+            b"",
+            lambda status, who: self.watch.evacuated(zone, order, status, who),
+            seconds,
+        )
         self.within(f"evacuation of {zone}", order[1], done)
         return done
 
@@ -162,8 +172,12 @@
 
     def steady(self) -> bool:
         """Up, not leaving, and acknowledged of late."""
-        return (self.up and self.state == READY and self.first is not None
-                and self.callers.sim.now - self.first > 5 * SECOND)
+        return (
+            self.up
+            and self.state == READY
+            and self.first is not None
+            and self.callers.sim.now - self.first > 5 * SECOND
+        )
 
     def run(self) -> None:
         callers, host, sim = self.callers, self.callers.host, self.callers.sim
@@ -238,9 +252,18 @@
         return status, machine
 
     def body(self) -> bytes:
-        return msgspec.json.encode({
-            "line": self.line, "addr": self.addr, "zone": self.zone, "edition": "v1", "berths": 6,
-            "state": self.state, "cold_left_ms": 0, "call_seq": self.seq})
+        return msgspec.json.encode(
+            {
+                "line": self.line,
+                "addr": self.addr,
+                "zone": self.zone,
+                "edition": "v1",
+                "berths": 6,
+                "state": self.state,
+                "cold_left_ms": 0,
+                "call_seq": self.seq,
+            }
+        )
 
     def check_in(self, tries: int = 3) -> bool:
         for _ in range(tries):
@@ -278,9 +301,6 @@
         return 200, None
 
 
-
-
-
 def without(held: tuple, low: int, high: int) -> list[tuple]:
     """What is left of a range when another is taken out of it."""
     a, b, fence, until = held
--- a/flintreach/standins/simulated_plants.py
+++ b/flintreach/standins/simulated_plants.py
@@ -28,6 +28,7 @@
         accepted(self, *args)
         if self.state == "accept" and self.taken:
             self.state = "done"
+
     return planted
 
 
@@ -36,6 +37,7 @@
         promised(self, *args)
         if self.state == "accept" and getattr(self.step, "__qualname__", "").startswith("Register.read"):
             self.state = "done"
+
     return planted
 
 
@@ -44,12 +46,14 @@
         settle(self)
         if self.acceptor:
             self.acceptor.voting = self.bundle.address in self.group
+
     return planted
 
 
 def any_life(accept):
     def planted(self, key, ballot, value, life, *args):
         return accept(self, key, ballot, value, self.life, *args)
+
     return planted
 
 
@@ -62,6 +66,7 @@
             word, slot = accept(self, key, ballot, value, life, *args)
             self.slots[key].promised = held
         return word, slot
+
     return planted
 
 
@@ -70,6 +75,7 @@
         # Down only after a while, as without a sync.
         self.process.sim.after(SECOND // 5, self.process.host.spawn, lambda: keep(self, *args, **rest))
         return True
+
     return planted
 
 
@@ -78,6 +84,7 @@
         if key == "timetable" and key in self.parcels and version < self.parcels[key][0]:
             del self.parcels[key]
         return offer(self, key, version, value, *age)
+
     return planted
 
 
@@ -87,6 +94,7 @@
         if new:
             self.sent, self.quiet_until = {}, now
         return new
+
     return planted
 
 
@@ -95,6 +103,7 @@
         for r in held.ranges:
             if r.state == "leaving":
                 r.state, r.holder, r.handover, r.addr = "free", "", "", ""
+
     return planted
 
 
@@ -103,7 +112,9 @@
         def told(line, headers):
             late = line.startswith("503") and "put" in environ["PATH_INFO"]
             start("409 Conflict" if late else line, headers)
+
         return call(self, environ, told)
+
     return planted
 
 
@@ -111,6 +122,7 @@
     def planted(self, number, body, *still):
         word = put(self, number, body, *still)
         return timetable.AGAIN if word == timetable.OTHER else word
+
     return planted
 
 
@@ -129,6 +141,7 @@
             if other != id:
                 self.records[other].rank = 2
         return told
+
     return planted
 
 
@@ -142,42 +155,117 @@
 
 CAIRN, REFUGE = "flintreach.cairn", "flintreach.refuge"
 PLANTS = {
-    "first-accept": Plant(f"{CAIRN}.proposer:Change", "accepted", first_accept, ("durable", "kept"),
-                          "a change is done when the first disk has accepted it"),
-    "no-write-back": Plant(f"{CAIRN}.proposer:Change", "promised", no_write_back, ("kept", "durable"),
-                           "a read answers what a minority alone may hold"),
-    "votes-when-empty": Plant(f"{CAIRN}.register:Register", "settle", votes_when_empty, ("kept", "durable"),
-                              "a disk that came back empty votes at once"),
-    "forgets-promises": Plant(f"{CAIRN}.acceptor:Acceptor", "accept", forgets_promises,
-                              ("kept", "durable", "evacuated", "single", "refused"),
-                              "a disk accepts below what it promised"),
-    "told-before-synced": Plant("flintreach.standins.simulated:Store", "keep", told_before_synced,
-                                ("durable", "known", "kept"), "a disk says yes before its sync"),
-    "board-goes-back": Plant("flintreach.trail.board:Board", "offer", board_goes_back, ("monotonic",),
-                             "news of an older configuration take the place of newer ones"),
-    "forgets-holds": Plant("flintreach.bunks.keeping:Keeping", "stands", forgets_holds, ("owner",),
-                           "a new keeper does not wait for what the one before it granted"),
-    "frees-at-once": Plant("flintreach.bunks.keeping:Keeping", "free", frees_at_once, ("owner",),
-                           "keys change hands before their holder's time is over"),
-    "refuses-when-cut-off": Plant(f"{REFUGE}.control:Control", "__call__", refuses_when_cut_off,
-                                  ("answered", "refused"), "no majority is told as a conflict"),
-    "settles-at-once": Plant(f"{REFUGE}.voting:", "first", settles_at_once,
-                             ("voters", "live", "kept", "durable", "known"),
-                             "a first start takes for voters whoever is there"),
-    "keeps-voters": Plant(f"{REFUGE}.voting:", "wanted", nothing, ("voters", "live"),
-                          "the voters never change"),
-    "takes-any-number": Plant(f"{REFUGE}.orders:Orders", "put", takes_any_number, ("single", "refused"),
-                              "a second content under one number is acknowledged"),
-    "acknowledges-from-memory": Plant(f"{REFUGE}.endpoints:Endpoints", "settle", true, ("known",),
-                                      "a closing is acknowledged without a quorum"),
-    "ends-rivals": Plant("flintreach.hutbook.book:Book", "hear", ends_rivals, ("ended", "agree"),
-                         "a late first check-in of an older life ends its successor"),
-    "answers-cut-off": Plant(f"{REFUGE}.control:Control", "refusal", nothing, ("stale", "evacuated", "kept"),
-                             "a refuge that slept or is cut off answers"),
-    "done-when-decided": Plant("flintreach.cairn.turnover:Turnover", "told", true, ("live",),
-                               "an exchange of voters is done when only its proposer knows"),
-    "never-forgets": Plant("flintreach.trail.board:Board", "expire", never_forgets, ("forgotten",),
-                           "tombstones stand for ever"),
+    "first-accept": Plant(
+        f"{CAIRN}.proposer:Change",
+        "accepted",
+        first_accept,
+        ("durable", "kept"),
+        "a change is done when the first disk has accepted it",
+    ),
+    "no-write-back": Plant(
+        f"{CAIRN}.proposer:Change",
+        "promised",
+        no_write_back,
+        ("kept", "durable"),
+        "a read answers what a minority alone may hold",
+    ),
+    "votes-when-empty": Plant(
+        f"{CAIRN}.register:Register",
+        "settle",
+        votes_when_empty,
+        ("kept", "durable"),
+        "a disk that came back empty votes at once",
+    ),
+    "forgets-promises": Plant(
+        f"{CAIRN}.acceptor:Acceptor",
+        "accept",
+        forgets_promises,
+        ("kept", "durable", "evacuated", "single", "refused"),
+        "a disk accepts below what it promised",
+    ),
+    "told-before-synced": Plant(
+        "flintreach.standins.simulated:Store",
+        "keep",
+        told_before_synced,
+        ("durable", "known", "kept"),
+        "a disk says yes before its sync",
+    ),
+    "board-goes-back": Plant(
+        "flintreach.trail.board:Board",
+        "offer",
+        board_goes_back,
+        ("monotonic",),
+        "news of an older configuration take the place of newer ones",
+    ),
+    "forgets-holds": Plant(
+        "flintreach.bunks.keeping:Keeping",
+        "stands",
+        forgets_holds,
+        ("owner",),
+        "a new keeper does not wait for what the one before it granted",
+    ),
+    "frees-at-once": Plant(
+        "flintreach.bunks.keeping:Keeping",
+        "free",
+        frees_at_once,
+        ("owner",),
+        "keys change hands before their holder's time is over",
+    ),
+    "refuses-when-cut-off": Plant(
+        f"{REFUGE}.control:Control",
+        "__call__",
+        refuses_when_cut_off,
+        ("answered", "refused"),
+        "no majority is told as a conflict",
+    ),
+    "settles-at-once": Plant(
+        f"{REFUGE}.voting:",
+        "first",
+        settles_at_once,
+        ("voters", "live", "kept", "durable", "known"),
+        "a first start takes for voters whoever is there",
+    ),
+    "keeps-voters": Plant(
+        f"{REFUGE}.voting:", "wanted", nothing, ("voters", "live"), "the voters never change"
+    ),
+    "takes-any-number": Plant(
+        f"{REFUGE}.orders:Orders",
+        "put",
+        takes_any_number,
+        ("single", "refused"),
+        "a second content under one number is acknowledged",
+    ),
+    "acknowledges-from-memory": Plant(
+        f"{REFUGE}.endpoints:Endpoints",
+        "settle",
+        true,
+        ("known",),
+        "a closing is acknowledged without a quorum",
+    ),
+    "ends-rivals": Plant(
+        "flintreach.hutbook.book:Book",
+        "hear",
+        ends_rivals,
+        ("ended", "agree"),
+        "a late first check-in of an older life ends its successor",
+    ),
+    "answers-cut-off": Plant(
+        f"{REFUGE}.control:Control",
+        "refusal",
+        nothing,
+        ("stale", "evacuated", "kept"),
+        "a refuge that slept or is cut off answers",
+    ),
+    "done-when-decided": Plant(
+        "flintreach.cairn.turnover:Turnover",
+        "told",
+        true,
+        ("live",),
+        "an exchange of voters is done when only its proposer knows",
+    ),
+    "never-forgets": Plant(
+        "flintreach.trail.board:Board", "expire", never_forgets, ("forgotten",), "tombstones stand for ever"
+    ),
 }
 
 
--- a/flintreach/standins/simulated_site.py
+++ b/flintreach/standins/simulated_site.py
@@ -43,17 +43,34 @@
 
 REFUGE_POST, BOTHY_POST = 0, 1
 UNPACK = msgspec.msgpack.decode
-BOUNDS = {"list_lag_s": 3, "readdress_s": 2, "contact_ms": 5000, "receipt_ms": 6000, "catch_up_s": 4,
-          "last_call_ms": 3000, "grace_s": 6, "edition_ms": 4000, "evacuate_ms": 5000, "hold_cap_ms": 10000,
-          "thaw_ms": 300, "ttl_max_s": 5}
+BOUNDS = {
+    "list_lag_s": 3,
+    "readdress_s": 2,
+    "contact_ms": 5000,
+    "receipt_ms": 6000,
+    "catch_up_s": 4,
+    "last_call_ms": 3000,
+    "grace_s": 6,
+    "edition_ms": 4000,
+    "evacuate_ms": 5000,
+    "hold_cap_ms": 10000,
+    "thaw_ms": 300,
+    "ttl_max_s": 5,
+}
 
 
 class Shape:
     """How large a site is and what it may lose: drawn from the seed, or by `refuges`."""
 
     ROWS = (  # refuges, zones, regions, machines and zones that may be lost at once
-        (3, 3, 1, 1, 1), (3, 3, 2, 1, 1), (3, 1, 1, 1, 0), (4, 2, 2, 1, 0), (5, 3, 2, 2, 0), (5, 5, 2, 2, 1),
-        (6, 3, 2, 2, 1))
+        (3, 3, 1, 1, 1),
+        (3, 3, 2, 1, 1),
+        (3, 1, 1, 1, 0),
+        (4, 2, 2, 1, 0),
+        (5, 3, 2, 2, 0),
+        (5, 5, 2, 2, 1),
+        (6, 3, 2, 2, 1),
+    )
 
     def __init__(self, chance, refuges: int | None = None):
         rows = [row for row in self.ROWS if refuges in (None, row[0])]
@@ -75,11 +92,21 @@
         self.bundle = Bundle(self.node.inner(REFUGE_POST), self.host)
         me = self.node.sender
         self.store = Store(self, site.disks[machine.ip], me.node_name, first_run)
-        member = Member(me.node_name, ROLE, *self.bundle.address, me.zone, me.region,
-                        dict(self.node.network.posts), me.counted, False, machine.wall_ms())
+        member = Member(
+            me.node_name,
+            ROLE,
+            *self.bundle.address,
+            me.zone,
+            me.region,
+            dict(self.node.network.posts),
+            me.counted,
+            False,
+            machine.wall_ms(),
+        )
         self.lookout = Sightings(self, member, self.seeds)
-        self.plane = ControlPlane(self.node, self.bundle, self.store, self.lookout.roster, self.seeds,
-                                  self.begin)
+        self.plane = ControlPlane(
+            self.node, self.bundle, self.store, self.lookout.roster, self.seeds, self.begin
+        )
         self.handlers = self.bundle.handlers
         self.control = Control(self.plane, {name for _, names in SERVED for name in names})
         site.hear(self, self.plane.board)
@@ -101,6 +128,7 @@
 
     def stop(self, ended: Callable[[], None]) -> None:
         """SIGTERM; `ended()`: called when it has ended by itself."""
+
         def leave():
             self.plane.care.voting.leave()
             self.lookout.change(state=3)
@@ -123,8 +151,17 @@
         self.node = site.node(machine, BOTHY, False)
         self.bundle = Bundle(self.node.inner(BOTHY_POST), self.host)
         me = self.node.sender
-        member = Member(me.node_name, BOTHY, *self.bundle.address, me.zone, me.region,
-                        dict(self.node.network.posts), me.counted, True, machine.wall_ms())
+        member = Member(
+            me.node_name,
+            BOTHY,
+            *self.bundle.address,
+            me.zone,
+            me.region,
+            dict(self.node.network.posts),
+            me.counted,
+            True,
+            machine.wall_ms(),
+        )
         self.lookout = Sightings(self, member, lambda: [(ip, PORT) for ip in self.node.seeds()])
         self.board = Board(self.host.now)
         self.relay = Relay(self.bundle, self.board, self.parents)
@@ -195,15 +232,28 @@
     def node(self, machine: Machine, role: str, first_run: bool) -> settings.Node:
         """The settings of a process, as the platform writes them."""
         losses = {"machines": self.shape.machines, "zones": self.shape.zones, "regions": 0}
-        return msgspec.convert({
-            "sender": {"node_name": machine.name, "ip": machine.ip, "zone": machine.zone,
-                       "region": machine.region, "counted": role == ROLE, "first_run": first_run,
-                       "store_dir": "disk" if role == ROLE else None},
-            "network": {"posts": {"front": f"{machine.ip}:8161", "control": f"{machine.ip}:8166"},
-                        "spare_ports": [PORT, PORT + 9], "seed_nodes": self.seeds,
-                        "zones": self.shape.places},
-            "carrier": {"report_ms": self.shape.report_ms},
-            "tariffs": {"losses": losses, "timetable": BOUNDS}}, settings.Node)
+        return msgspec.convert(
+            {
+                "sender": {
+                    "node_name": machine.name,
+                    "ip": machine.ip,
+                    "zone": machine.zone,
+                    "region": machine.region,
+                    "counted": role == ROLE,
+                    "first_run": first_run,
+                    "store_dir": "disk" if role == ROLE else None,
+                },
+                "network": {
+                    "posts": {"front": f"{machine.ip}:8161", "control": f"{machine.ip}:8166"},
+                    "spare_ports": [PORT, PORT + 9],
+                    "seed_nodes": self.seeds,
+                    "zones": self.shape.places,
+                },
+                "carrier": {"report_ms": self.shape.report_ms},
+                "tariffs": {"losses": losses, "timetable": BOUNDS},
+            },
+            settings.Node,
+        )
 
     # Processes.
 
@@ -233,8 +283,10 @@
     def copies(self) -> list[tuple[tuple[str, int], Disk]]:
         """Disks by the address of their process, with those that were lost in the last two seconds."""
         self.ghosts = [ghost for ghost in self.ghosts if self.sim.now - ghost[0] < 2 * SECOND]
-        return [*((m.process_address, self.disks[m.ip]) for m in self.refuges.values()),
-                *((address, disk) for _, address, disk in self.ghosts)]
+        return [
+            *((m.process_address, self.disks[m.ip]) for m in self.refuges.values()),
+            *((address, disk) for _, address, disk in self.ghosts),
+        ]
 
     def remove(self, machine: Machine) -> None:
         """For good, with its disk."""
@@ -262,8 +314,11 @@
 
     def up(self) -> list[Refuge]:
         """Refuges whose process runs."""
-        return [m.process for m in self.refuges.values()
-                if m.process is not None and m.process.alive and not m.process.frozen]
+        return [
+            m.process
+            for m in self.refuges.values()
+            if m.process is not None and m.process.alive and not m.process.frozen
+        ]
 
     def voters(self) -> Voters:
         """The latest that any disk or process knows to be decided."""
@@ -289,8 +344,15 @@
 
     # Calls from outside.
 
-    def call(self, machine: Machine, method: str, path: str, body: bytes = b"", timeout: float = 1.0,
-             late: float = 0.0) -> tuple[int, bytes]:
+    def call(
+        self,
+        machine: Machine,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        timeout: float = 1.0,
+        late: float = 0.0,
+    ) -> tuple[int, bytes]:
         """(status, body) of an answer; status 0 where none came within `timeout` seconds."""
         waiter, sim, network = Waiter(self.outside), self.sim, self.network
         here, left = self.outside.machine, []
@@ -308,9 +370,14 @@
         def served(process):
             status = []
             path_, _, query = path.partition("?")
-            environ = {"REQUEST_METHOD": method, "PATH_INFO": path_, "QUERY_STRING": query,
-                       "wsgi.input": Input(io.BytesIO(body), len(body)), "CONTENT_LENGTH": str(len(body)),
-                       "flintreach.gone": lambda: bool(left and sim.now >= left[0])}
+            environ = {
+                "REQUEST_METHOD": method,
+                "PATH_INFO": path_,
+                "QUERY_STRING": query,
+                "wsgi.input": Input(io.BytesIO(body), len(body)),
+                "CONTENT_LENGTH": str(len(body)),
+                "flintreach.gone": lambda: bool(left and sim.now >= left[0]),
+            }
             told = b"".join(process.control(environ, lambda line, headers: status.append(int(line[:3]))))
             if status == [200]:
                 self.answering(machine, method)
@@ -342,8 +409,11 @@
                 return
             hold = keeper.state.hold if kind == GRANT else 0.0
             late = sim.chance.random() < 0.05
-            sim.after(network.delay(here, outside) + (int(sim.chance.random() * 900 * MS) if late else 0),
-                      arrives, hold)
+            sim.after(
+                network.delay(here, outside) + (int(sim.chance.random() * 900 * MS) if late else 0),
+                arrives,
+                hold,
+            )
 
         def arrives(hold):
             endpoint = self.endpoints.get(r.addr)
--- a/flintreach/standins/simulated_trial.py
+++ b/flintreach/standins/simulated_trial.py
@@ -60,8 +60,11 @@
     def may_zone(self, zone: str) -> bool:
         """Whether a whole zone may go now, and all of it is there."""
         there = [m for m in self.site.refuges.values() if m.zone == zone]
-        return (self.site.shape.zones > 0 and not self.counted()
-                and all(m.process is not None and m.process.alive for m in there))
+        return (
+            self.site.shape.zones > 0
+            and not self.counted()
+            and all(m.process is not None and m.process.alive for m in there)
+        )
 
     def take(self, machine) -> None:
         self.lost[machine] = None
@@ -86,8 +89,14 @@
             self.chance.choice((self.strike_once, self.strike_once, self.ambush, self.at_answer))()
         self.sim.after(int(self.chance.expovariate(1 / self.gap) * SECOND), self.strike)
 
-    ALL = ("kill",) * 3 + ("power",) * 3 + ("wipe",) * 2 + ("freeze",) * 3 + ("cut",) * 4 + (
-        "cut_pair", "cut_pair", "disk", "disk", "slow_link", "replace", "replace")
+    ALL = (
+        ("kill",) * 3
+        + ("power",) * 3
+        + ("wipe",) * 2
+        + ("freeze",) * 3
+        + ("cut",) * 4
+        + ("cut_pair", "cut_pair", "disk", "disk", "slow_link", "replace", "replace")
+    )
 
     def strike_once(self) -> None:
         chance = self.chance
@@ -138,8 +147,11 @@
 
     def ready(self) -> list:
         lost = self.counted()
-        return [m for m in self.site.refuges.values() if m not in lost and self.may(m)
-                and m.process is not None and m.process.alive]
+        return [
+            m
+            for m in self.site.refuges.values()
+            if m not in lost and self.may(m) and m.process is not None and m.process.alive
+        ]
 
     def span(self) -> int:
         if self.spans:
@@ -270,8 +282,12 @@
         self.note(None, f"{zone} goes: {kind}")
         self.spans = [span] * len(there)
         inside = {m.ip for m in self.site.network.machines.values() if m.zone == zone}
-        pairs = [(a, b) for a in sorted(inside) for b in self.site.network.machines
-                 if b not in inside and b != self.site.outside.machine.ip]
+        pairs = [
+            (a, b)
+            for a in sorted(inside)
+            for b in self.site.network.machines
+            if b not in inside and b != self.site.outside.machine.ip
+        ]
         for machine in there:
             self.take(machine)
             if kind == "zone_cut":
@@ -408,8 +424,11 @@
     chance, began = random.Random(sim.chance.getrandbits(64)), sim.now
     faults, callers = Faults(site, watch), Callers(site, watch)
     faults.callers, shape = callers, site.shape
-    sim.note("site", f"{shape.refuges} refuges, {len(shape.places)} zones, loses {shape.machines} machines "
-                     f"or {shape.zones} zones; report {shape.report_ms} ms")
+    sim.note(
+        "site",
+        f"{shape.refuges} refuges, {len(shape.places)} zones, loses {shape.machines} machines "
+        f"or {shape.zones} zones; report {shape.report_ms} ms",
+    )
     slow = chance.choice([*site.refuges.values()]) if chance.random() < 0.2 else None
     for machine in [*site.refuges.values(), *site.bothies.values()]:
         late = chance.uniform(0.5, 4.0) if machine is slow else 0.0
@@ -515,6 +534,7 @@
 @contextlib.contextmanager
 def played(sim: Simulation):
     """The shipped text says its lines to the trace, and its keepers call simulated endpoints."""
+
     def told(what: str, fields: dict) -> None:
         sim.note(sim.running.name if sim.running else "", f"{what} {fields}")
 
@@ -534,8 +554,14 @@
         gc.enable()
 
 
-def play(seed: int, refuges: int | None = None, on=tuple(INVARIANTS), kept: int = 40, plant: str = "",
-         course=course) -> Outcome:
+def play(
+    seed: int,
+    refuges: int | None = None,
+    on=tuple(INVARIANTS),
+    kept: int = 40,
+    plant: str = "",
+    course=course,
+) -> Outcome:
     """One trial.  `refuges`: how many, None: drawn; `on`: invariants that end it; `kept`: events kept;
     `plant`: a fault that is put into the text (see `simulated_plants`)."""
     sim = Simulation(seed, kept)
--- a/flintreach/standins/simulated_watch.py
+++ b/flintreach/standins/simulated_watch.py
@@ -123,8 +123,11 @@
             put.refused = put.refused or self.sim.now
 
     def durable(self, put: Put, who: str) -> None:
-        holders = {address for address, disk in self.site.copies()
-                   if (slot := disk.slots.get("timetable")) and edition(slot.value) >= put.number}
+        holders = {
+            address
+            for address, disk in self.site.copies()
+            if (slot := disk.slots.get("timetable")) and edition(slot.value) >= put.number
+        }
         self.quorum("durable", f"configuration {put.number} acknowledged by {who}", holders)
 
     def quorum(self, name: str, what: str, holders: set) -> None:
@@ -202,8 +205,12 @@
         for address, disk in self.site.copies():
             book = self.site.book(disk)
             record = book.records.get(endpoint.id)
-            if (record is not None and (not leaves or record.state in (CLOSING, GONE))
-                    or leaves and endpoint.id in getattr(book, "gone", ())):
+            if (
+                record is not None
+                and (not leaves or record.state in (CLOSING, GONE))
+                or leaves
+                and endpoint.id in getattr(book, "gone", ())
+            ):
                 holders.add(address)
         self.quorum("known", f"{what} of {endpoint.id} acknowledged by {who}", holders)
 
@@ -217,8 +224,11 @@
             if other is not endpoint and other.up and other.line == endpoint.line:
                 for a, b, _, until in other.holds:
                     if until > self.sim.now and a <= high and low <= b:
-                        self.broke("owner", f"{endpoint.id} and {other.id} hold {max(a, low)}.."
-                                            f"{min(b, high)}, granted by {process.name}")
+                        self.broke(
+                            "owner",
+                            f"{endpoint.id} and {other.id} hold {max(a, low)}.."
+                            f"{min(b, high)}, granted by {process.name}",
+                        )
 
     # Evacuations: one operator a zone, one order after the other.
 
@@ -253,8 +263,9 @@
             self.epoch(refuge.plane.register.voters)
         if self.calm(now):
             for process in self.processes():
-                if now - process.began_at > 5 * SECOND and (not hasattr(process, "listening")
-                                                            or process.listening):
+                if now - process.began_at > 5 * SECOND and (
+                    not hasattr(process, "listening") or process.listening
+                ):
                     self.in_touch(process)
 
     def epoch(self, voters) -> None:
@@ -267,8 +278,9 @@
             before = self.epochs.get(voters.epoch - 1)
             if before is not None and before.epoch:
                 shared = [one for one in before.sets if one in voters.sets]
-                if not shared and not (len(before.sets) == len(voters.sets) == 1
-                                       and len(before.sets[0] ^ voters.sets[0]) <= 1):
+                if not shared and not (
+                    len(before.sets) == len(voters.sets) == 1 and len(before.sets[0] ^ voters.sets[0]) <= 1
+                ):
                     self.broke("epochs", f"epoch {voters.epoch} shares no set with the one before it")
         elif self.epochs[voters.epoch] != voters:
             self.broke("epochs", f"two sets of voters in epoch {voters.epoch}")
@@ -286,8 +298,11 @@
 
     def settled_zones(self, before: int) -> dict[str, bool]:
         """Zones whose last order was acknowledged before a time."""
-        return {zone: orders[-1][0] for zone, orders in self.zones.items()
-                if orders[-1][2] is not None and orders[-1][2] < before}
+        return {
+            zone: orders[-1][0]
+            for zone, orders in self.zones.items()
+            if orders[-1][2] is not None and orders[-1][2] < before
+        }
 
     def meets(self, refuge) -> bool:
         """Whether a refuge may be in contact with a majority: joined to it for a way and back."""
@@ -360,11 +375,23 @@
 def numbered(number: int, salt: int, sharded: bool) -> bytes:
     """A configuration: two operators' contents under one number differ by their salt."""
     depots = [{"name": "plain", "cold_s": 0.0, "cold_per_s": 0.0}]
-    rules = [{"name": f"r{salt}", "kind": "safe", "sorting": {"postcode": f"/p{salt}/"},
-              "dispatch": {"line": "plain", "deadline_ms": 3000, "tries": 2}}]
+    rules = [
+        {
+            "name": f"r{salt}",
+            "kind": "safe",
+            "sorting": {"postcode": f"/p{salt}/"},
+            "dispatch": {"line": "plain", "deadline_ms": 3000, "tries": 2},
+        }
+    ]
     if sharded:
         depots.append({"name": "keyed", "sharded": True, "warmup_s": 1.0})
-        rules.append({"name": "k", "kind": "safe", "sorting": {"postcode": "/k/"},
-                      "dispatch": {"line": "keyed", "deadline_ms": 3000, "tries": 2}})
+        rules.append(
+            {
+                "name": "k",
+                "kind": "safe",
+                "sorting": {"postcode": "/k/"},
+                "dispatch": {"line": "keyed", "deadline_ms": 3000, "tries": 2},
+            }
+        )
     wickets = [{"destination": "a.example", "regulations": rules}]
     return msgspec.json.encode({"edition": f"{number:08x}", "wickets": wickets, "depots": depots})
--- a/flintreach/standins/worlds.py
+++ b/flintreach/standins/worlds.py
@@ -26,12 +26,22 @@
 
     def __init__(self, make, seed: int, servers: int, proxies: int, slices: int):
         self.rnd, self.now = random.Random(seed), 100 * SECOND
-        operations = [face.Operation("look", 0, SECOND, 3 * SECOND, 1.0),
-                      face.Operation("book", 1, SECOND, 3 * SECOND, 5.0, "side-effecting", writes=True)]
+        operations = [
+            face.Operation("look", 0, SECOND, 3 * SECOND, 1.0),
+            face.Operation("book", 1, SECOND, 3 * SECOND, 5.0, "side-effecting", writes=True),
+        ]
         self.settings = face.Settings(
-            seed=seed, proxies=proxies, operations=operations, cold_share=0.2, warm_up=10 * SECOND,
-            slices=[face.Slice(n) for n in range(slices)], channel_limit=50.0 * proxies, messages_most=20,
-            load_fields=("util",), probes=True)
+            seed=seed,
+            proxies=proxies,
+            operations=operations,
+            cold_share=0.2,
+            warm_up=10 * SECOND,
+            slices=[face.Slice(n) for n in range(slices)],
+            channel_limit=50.0 * proxies,
+            messages_most=20,
+            load_fields=("util",),
+            probes=True,
+        )
         self.servers = [face.Server(f"s{n}") for n in range(servers)]
         self.proxies = [face.Proxy(n) for n in range(proxies)]
         self.states = dict.fromkeys(self.servers, ("ready", 0))
@@ -66,8 +76,17 @@
             if round(count):
                 part = 1 if self.states[server][0] == "gone" else rnd.choice([0, 0, 0, 0.1, 0.5])
                 latency = int(SECOND * (0.1 + 0.3 * count / mean * rnd.random()))
-                found.append(face.Heard(0, server, round(count), round(count * part), latency, SECOND,
-                                        {"util": min(1, 0.5 * count / mean)}))
+                found.append(
+                    face.Heard(
+                        0,
+                        server,
+                        round(count),
+                        round(count * part),
+                        latency,
+                        SECOND,
+                        {"util": min(1, 0.5 * count / mean)},
+                    )
+                )
         look = self.settings.operations[0]
         for piece, rate in zip(self.settings.slices, self.rates):
             unanswered = round(rate * rnd.choice([0, 0, 0.3]))
@@ -77,16 +96,20 @@
     def beat(self, number: int) -> None:
         rnd, self.now = self.rnd, self.now + BEAT
         marks = [order.number for order in self.replies[-1] if isinstance(order, face.Mark)]
-        events = [face.Applied(proxy, mark, 0) for mark in marks for proxy in self.proxies
-                  if rnd.random() < 0.98]
+        events = [
+            face.Applied(proxy, mark, 0) for mark in marks for proxy in self.proxies if rnd.random() < 0.98
+        ]
         if rnd.random() < 0.1:
             self.rates[rnd.randrange(len(self.rates))] *= rnd.choice([0.2, 8])
         if rnd.random() < 0.12:
             server, what = rnd.choice(self.servers), rnd.choice(["draining", "gone", "ready", "restart"])
             started = self.states[server][1]
             self.states[server] = ("ready", self.now) if what == "restart" else (what, started)
-            events.append(face.Roster("delta", [face.Entry(server, self.states[server][0], 1.0,
-                                                           self.states[server][1])]))
+            events.append(
+                face.Roster(
+                    "delta", [face.Entry(server, self.states[server][0], 1.0, self.states[server][1])]
+                )
+            )
         if rnd.random() < 0.05:
             piece = rnd.choice(self.settings.slices)
             events.append(face.Given(piece, rnd.random() < 0.8))
--- a/flintreach/telemetry/history.py
+++ b/flintreach/telemetry/history.py
@@ -89,5 +89,6 @@
     known = [value for value in values if value is not None and value == value]
     low, high = min(known, default=0), max(known, default=0)
     part = (len(BARS) - 1) / (high - low) if high > low else 0
-    return "".join(" " if value is None or value != value else BARS[int((value - low) * part)]
-                   for value in values)
+    return "".join(
+        " " if value is None or value != value else BARS[int((value - low) * part)] for value in values
+    )
--- a/flintreach/telemetry/measures.py
+++ b/flintreach/telemetry/measures.py
@@ -10,8 +10,13 @@
 from flintreach.telemetry.names import BY_NAME, NAMES, PARTS
 
 LONGEST = 60_000_000  # microseconds: the longest turn that the histogram tells apart
-ORDERS = {face.SetLine: "orders.lines", face.Withdraw: "orders.shut", face.Admit: "orders.levels",
-          face.Mark: "orders.marks", face.Probe: "orders.probes"}
+ORDERS = {
+    face.SetLine: "orders.lines",
+    face.Withdraw: "orders.shut",
+    face.Admit: "orders.levels",
+    face.Mark: "orders.marks",
+    face.Probe: "orders.probes",
+}
 PAGE = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -48,19 +53,30 @@
         with open("/proc/self/statm") as file:
             resident = int(file.read().split()[1]) * PAGE / 2**20
         found = {
-            "turns.deepest": service.deepest, "turns.waiting": len(service.gathered),
-            "reports.lines": service.clients.lines, "relay.waiting": len(service.calls.waiting),
-            "relay.flight": len(service.calls.flight), "relay.doubt": int(service.calls.state == "doubt"),
+            "turns.deepest": service.deepest,
+            "turns.waiting": len(service.gathered),
+            "reports.lines": service.clients.lines,
+            "relay.waiting": len(service.calls.waiting),
+            "relay.flight": len(service.calls.flight),
+            "relay.doubt": int(service.calls.state == "doubt"),
             "channel.lines": sum(lines for row in pilot.joined.values() for _, lines, _ in row),
-            "probes.open": len(service.servers.open), "discovery.known": int(service.roster.known),
-            "discovery.failures": service.roster.failures, "relay.failures": service.calls.failures,
-            "news.failures": service.news.failures, "news.proxies": len(service.news.joined),
+            "probes.open": len(service.servers.open),
+            "discovery.known": int(service.roster.known),
+            "discovery.failures": service.roster.failures,
+            "relay.failures": service.calls.failures,
+            "news.failures": service.news.failures,
+            "news.proxies": len(service.news.joined),
             "news.slices": len(service.news.tables),
-            "level.fleet": pilot.level, "warnings.count": sum(service.counts.values()),
-            "process.cpu": time.process_time(), "process.memory": round(resident, 2),
-            **{f"servers.{mode}": modes[mode] for mode in
-               ("fit", "cold", "out", "trial", "leaving", "unknown")},
-            **service.clients.figures()}
+            "level.fleet": pilot.level,
+            "warnings.count": sum(service.counts.values()),
+            "process.cpu": time.process_time(),
+            "process.memory": round(resident, 2),
+            **{
+                f"servers.{mode}": modes[mode]
+                for mode in ("fit", "cold", "out", "trial", "leaving", "unknown")
+            },
+            **service.clients.figures(),
+        }
         for source in service.sources:
             found |= source()
         return found
@@ -71,8 +87,12 @@
         found |= {name: value for name, value in self.gauges().items() if name in BY_NAME}
         for name, span in self.spans.items():
             count = span.get_total_count()
-            values = (count, span.get_value_at_percentile(50), span.get_value_at_percentile(99),
-                      span.get_max_value())
+            values = (
+                count,
+                span.get_value_at_percentile(50),
+                span.get_value_at_percentile(99),
+                span.get_max_value(),
+            )
             for part, value in zip(PARTS, values):
                 if part == "count" or count:  # without a turn there is no time of one
                     found[f"{name}.{part}"] = value if part == "count" else value / 1000
--- a/flintreach/telemetry/sender.py
+++ b/flintreach/telemetry/sender.py
@@ -18,8 +18,7 @@
         self.disk = Disk(block.history) if block.history else None
         self.writing, self.told = False, 0  # told: the last whole second
         self.tags = {"pilot": service.config.name or "pilot", **block.tags}
-        service.sources.append(
-            lambda: {"telemetry.dropped": self.graphite.dropped if self.graphite else 0})
+        service.sources.append(lambda: {"telemetry.dropped": self.graphite.dropped if self.graphite else 0})
 
     async def start(self) -> None:
         if self.graphite:
@@ -40,8 +39,10 @@
         if self.graphite:
             rows = [(path(self.block.prefix, name, self.tags), when, value) for name, value in values.items()]
             for source in self.service.tagged:
-                rows += [(path(self.block.prefix, name, self.tags | tags), when, value)
-                         for name, tags, value in source()]
+                rows += [
+                    (path(self.block.prefix, name, self.tags | tags), when, value)
+                    for name, tags, value in source()
+                ]
             self.graphite.put(ENCODERS[self.block.protocol](rows))
         for name, value in values.items():
             self.rings.setdefault(name, Ring()).put(when, value)
--- a/flintreach/telemetry/show.py
+++ b/flintreach/telemetry/show.py
@@ -28,8 +28,10 @@
         known = [value for value in values if value is not None]
         row = [f"{value:.6g}" for value in (known[-1], min(known), max(known))] if known else ["-"] * 3
         told = BY_NAME.get(name) or BY_NAME.get(name.rpartition(".")[0])
-        nine = [next((value for value in reversed(values[at:at + 9]) if value is not None), None)
-                for at in range(0, len(values), 9)]  # forty signs for an hour
+        nine = [
+            next((value for value in reversed(values[at : at + 9]) if value is not None), None)
+            for at in range(0, len(values), 9)
+        ]  # forty signs for an hour
         table.add_row(name, *row, told.unit if told else "", spark(nine))
     Console().print(table)
     return 0
--- a/flintreach/trail/board.py
+++ b/flintreach/trail/board.py
@@ -105,8 +105,11 @@
         return default if held is None or held[1] is None else held[1]
 
     def under(self, prefix: str) -> dict[str, Any]:
-        return {key[len(prefix):]: value for key, (_, value) in self.parcels.items()
-                if key.startswith(prefix) and value is not None}
+        return {
+            key[len(prefix) :]: value
+            for key, (_, value) in self.parcels.items()
+            if key.startswith(prefix) and value is not None
+        }
 
     # What two boards tell each other to become alike.
 
@@ -140,9 +143,10 @@
         done with it.  Removals come first within each bucket."""
         rows, done, size = [], [], 0
         for bucket, theirs in told.items():
-            lacking = sorted((key for key in self.keys[bucket]
-                              if key not in theirs or self.parcels[key][0] > theirs[key]),
-                             key=lambda key: (key not in self.told_at, key))
+            lacking = sorted(
+                (key for key in self.keys[bucket] if key not in theirs or self.parcels[key][0] > theirs[key]),
+                key=lambda key: (key not in self.told_at, key),
+            )
             for key in lacking:
                 row = [key, *self.parcels[key], self.age(key)]
                 weight = len(PACK(row))
--- a/flintreach/trail/relay.py
+++ b/flintreach/trail/relay.py
@@ -29,8 +29,13 @@
     while this process slept.
     """
 
-    def __init__(self, host: Host, board: Board, address: tuple[str, int],
-                 take: Callable[[Iterable[Row]], None] | None = None):
+    def __init__(
+        self,
+        host: Host,
+        board: Board,
+        address: tuple[str, int],
+        take: Callable[[Iterable[Row]], None] | None = None,
+    ):
         self.host, self.board, self.address, self.take = host, board, address, take or board.take
         self.link: Link | None = None
         self.snapshot: Board | None = None  # what is to take the board's place, while it comes
@@ -107,9 +112,12 @@
         self.taken: list = [None] * PARENTS  # addresses that each climber keeps to
         self.renewing = False  # a snapshot is coming: a second one beside it would drop what the first brings
         self.told = told or (lambda body: None)  # what a child says upward
-        bundle.handlers |= {"follow": self.on_follow, "lack": lambda link, told: [*self.board.missing(told)],
-                            "mark": lambda link, body: self.age(),
-                            "up": lambda link, body: self.told(body)}
+        bundle.handlers |= {
+            "follow": self.on_follow,
+            "lack": lambda link, told: [*self.board.missing(told)],
+            "mark": lambda link, body: self.age(),
+            "up": lambda link, body: self.told(body),
+        }
         board.watchers.append(self.spread)
 
     def start(self) -> None:
--- a/flintreach/waymark/desk.py
+++ b/flintreach/waymark/desk.py
@@ -82,8 +82,11 @@
         typer.echo(checked(file))
 
     @app.command()
-    def show(view: str, inner: str = typer.Option(..., "--at", help="A refuge's address for other pilots."),
-             as_json: bool = typer.Option(False, "--json", help="Rows as JSON.")) -> None:
+    def show(
+        view: str,
+        inner: str = typer.Option(..., "--at", help="A refuge's address for other pilots."),
+        as_json: bool = typer.Option(False, "--json", help="Rows as JSON."),
+    ) -> None:
         """Look at a running refuge: status, members, endpoints, tables, keys or voters."""
         from flintreach.rope.bundle import Bundle
 
@@ -129,9 +132,11 @@
             typer.echo(json.dumps(found))
 
     @app.command()
-    def voters(inner: str = typer.Option(..., "--at", help="A refuge's address for other pilots."),
-               out: str = typer.Option(None, "--out", help="The voter to leave out, by its inner address."),
-               into: str = typer.Option(None, "--in", help="A caught-up disk to take in instead.")) -> None:
+    def voters(
+        inner: str = typer.Option(..., "--at", help="A refuge's address for other pilots."),
+        out: str = typer.Option(None, "--out", help="The voter to leave out, by its inner address."),
+        into: str = typer.Option(None, "--in", help="A caught-up disk to take in instead."),
+    ) -> None:
         """Exchange, leave out or take in a voter of the register; `show voters` tells who votes."""
         from flintreach.rope.bundle import Bundle
 
@@ -141,9 +146,12 @@
             fail(1, f"{inner}: {'no answer' if said is None else said}")
 
     @app.command()
-    def rescue(folder: Path, epoch: int = typer.Option(..., help="The epoch that is given up."),
-               address: str = typer.Option(..., help="This refuge's inner address."),
-               confirm: str = typer.Option("", help="The word that is asked for.")) -> None:
+    def rescue(
+        folder: Path,
+        epoch: int = typer.Option(..., help="The epoch that is given up."),
+        address: str = typer.Option(..., help="This refuge's inner address."),
+        confirm: str = typer.Option("", help="The word that is asked for."),
+    ) -> None:
         """Last resort after more losses than allowed: the disk of a stopped refuge becomes the only voter."""
         from flintreach.cairn.rescue import CONFIRM, alone
         from flintreach.cairn.store import StoreError
@@ -157,12 +165,14 @@
         typer.echo(f"{folder}: the only voter, epoch {after.epoch}")
 
     @app.command()
-    def simulate(seeds: int = typer.Option(500, help="How many."),
-                 first: int = typer.Option(0, "--from", help="The first seed."),
-                 nodes: int = typer.Option(0, help="Refuges; 0: drawn from the seed."),
-                 trace: int = typer.Option(-1, help="Play one seed alone and print its events."),
-                 workers: int = typer.Option(4, help="Processes at work."),
-                 plant: str = typer.Option("", hidden=True)) -> None:
+    def simulate(
+        seeds: int = typer.Option(500, help="How many."),
+        first: int = typer.Option(0, "--from", help="The first seed."),
+        nodes: int = typer.Option(0, help="Refuges; 0: drawn from the seed."),
+        trace: int = typer.Option(-1, help="Play one seed alone and print its events."),
+        workers: int = typer.Option(4, help="Processes at work."),
+        plant: str = typer.Option("", hidden=True),
+    ) -> None:
         """Play the control plane in simulated time under faults from seeds; 1 if an invariant breaks."""
         from flintreach.standins import simulated_trial
 
@@ -174,7 +184,8 @@
         raise typer.Exit(simulated_trial.show(played, nodes or None, workers, typer.echo, plant))
 
     @app.command()
-    def evacuate(zone: str, control: str = at,
-                 finish: bool = typer.Option(False, "--finish", help="Take it back.")) -> None:
+    def evacuate(
+        zone: str, control: str = at, finish: bool = typer.Option(False, "--finish", help="Take it back.")
+    ) -> None:
         """Send nothing more to the endpoints of a zone."""
         call(control, "POST", f"/v1/evacuate/{zone}/{'finish' if finish else 'start'}")
--- a/flintreach/waymark/timetable.py
+++ b/flintreach/waymark/timetable.py
@@ -88,15 +88,26 @@
 class Route:
     """A route as the carrying path uses it: services with weights, times in nanoseconds."""
 
-    __slots__ = ("name", "kind", "repeatable", "prefix", "services", "deadline", "aim", "tries", "homes",
-                 "precedence")
+    __slots__ = (
+        "name",
+        "kind",
+        "repeatable",
+        "prefix",
+        "services",
+        "deadline",
+        "aim",
+        "tries",
+        "homes",
+        "precedence",
+    )
 
     def __init__(self, rule: Regulation):
         to = rule.dispatch
         self.name, self.kind, self.prefix = rule.name, rule.kind, rule.sorting.postcode
         self.repeatable = rule.kind != "unsafe"
-        self.services = ([(share.line, share.weight) for share in to.apportion if share.weight > 0]
-                         or [(to.line or "", 1.0)])
+        self.services = [(share.line, share.weight) for share in to.apportion if share.weight > 0] or [
+            (to.line or "", 1.0)
+        ]
         self.deadline, self.aim = int(to.deadline_ms * 1e6), int(rule.target_ms * 1e6)
         self.tries, self.homes, self.precedence = max(1, to.tries), to.home_regions, rule.precedence
 
@@ -214,7 +225,7 @@
         if place == 0 and len(self) == KEPT:
             return FORGOTTEN, None  # it may have had any content
         at = place * ENTRY.size
-        history = (self.history[:at] + ENTRY.pack(number, mark) + self.history[at:])[-KEPT * ENTRY.size:]
+        history = (self.history[:at] + ENTRY.pack(number, mark) + self.history[at:])[-KEPT * ENTRY.size :]
         if place == len(self):
             return TAKEN, Standing(body, history)
         # It changes nothing, but is acknowledged: noted first, lest another content is too.
