--- a/flintreach/__main__.py
+++ b/flintreach/__main__.py
@@ -129,7 +129,9 @@
     # The platform's own start: with a part of a core, loading typer would keep the pilot away for longer.
     if sys.argv[1:] == ["serve"]:
         run(None)
-    elif sys.argv[1:] in (["bothy"], ["refuge"]):
+    elif sys.argv[1:] in (["proxy"], ["refuge"]):
         program(sys.argv[1])
+    elif sys.argv[1:] == ["bothy"]:  # the proxy's name in deploy files of earlier texts
+        program("proxy")
     else:
         commands()()
--- a/flintreach/bunks/warmth.py
+++ b/flintreach/bunks/warmth.py
@@ -1,4 +1,4 @@
-"""Where the load of sharded services lies, from the sums that the bothies tell upward.  Pure."""
+"""Where the load of sharded services lies, from the sums that the proxies tell upward.  Pure."""
 
 from flintreach.bunks.plan import Heat
 
--- a/flintreach/bothy/carry.py
+++ b/flintreach/proxy/carry.py
@@ -8,7 +8,8 @@
 from gevent.event import Event
 from gevent.queue import Empty, SimpleQueue
 
-from flintreach.bothy.choice import (
+from flintreach.bunks.plan import BUCKET, KEYS
+from flintreach.proxy.choice import (
     FULL_FOR,
     KEY_WAIT,
     SECOND_SHARE,
@@ -19,11 +20,10 @@
     idle_for,
     patience,
 )
-from flintreach.bothy.endpoint import ANSWERED, BROKEN, IDLE, NOT_RUN, UNSENT, Outcome, exchange
-from flintreach.bothy.gate import WAIT, Gate
-from flintreach.bothy.reply import number
-from flintreach.bothy.world import World, slice_of
-from flintreach.bunks.plan import BUCKET, KEYS
+from flintreach.proxy.connection import ANSWERED, BROKEN, IDLE, NOT_RUN, UNSENT, Outcome, exchange
+from flintreach.proxy.gate import WAIT, Gate
+from flintreach.proxy.reply import number
+from flintreach.proxy.view import RoutingView, slice_of
 from flintreach.trail.tally import Tally
 
 MS, SECOND = 1_000_000, 1_000_000_000
@@ -69,7 +69,7 @@
     body: bytes = b""
     came: int = 0
     low: dict[str, str] = field(default_factory=dict)  # by lower name
-    wires: list = field(default_factory=list)  # connections that it went out on
+    connections: list = field(default_factory=list)  # connections that it went out on
 
 
 @dataclass(slots=True)
@@ -93,8 +93,8 @@
 
 
 class Carrier:
-    def __init__(self, world: World, bounds, counts: dict[str, int], tally: Tally, mbps: float = 0.0):
-        self.world, self.bounds, self.counts, self.tally = world, bounds, counts, tally
+    def __init__(self, view: RoutingView, bounds, counts: dict[str, int], tally: Tally, mbps: float = 0.0):
+        self.view, self.bounds, self.counts, self.tally = view, bounds, counts, tally
         self.budgets: dict[str, Budget] = {}
         self.gate = Gate(mbps)
         self.work: dict[str, int] = {}  # service -> how long its requests take, smoothed
@@ -102,22 +102,22 @@
     def count(self, name: str) -> None:
         self.counts[name] = self.counts.get(name, 0) + 1
 
-    def budget(self, line: str) -> Budget:
-        if line not in self.budgets:
+    def budget(self, service: str) -> Budget:
+        if service not in self.budgets:
             b = self.bounds
-            self.budgets[line] = Budget(b.retry_ratio, b.retry_window_s, b.retry_slack)
-        return self.budgets[line]
+            self.budgets[service] = Budget(b.retry_ratio, b.retry_window_s, b.retry_slack)
+        return self.budgets[service]
 
-    def head(self, request: Request, hut, left: int) -> bytes:
+    def head(self, request: Request, endpoint, left: int) -> bytes:
         dropped = hops(request.low.get("connection", ""))
         lines = [f"{request.method} {request.target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in request.headers if name.lower() not in dropped]
-        lines += [f"X-Time-Left-Ms: {max(1, left // MS)}", f"X-Expect-Endpoint: {hut.id}"]
+        lines += [f"X-Time-Left-Ms: {max(1, left // MS)}", f"X-Expect-Endpoint: {endpoint.id}"]
         if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
             lines.append(f"Content-Length: {len(request.body)}")
         return "\r\n".join([*lines, "", ""]).encode("latin-1")
 
-    def line(self, route) -> str:
+    def draw_service(self, route) -> str:
         """The service, drawn by weight where the route has several."""
         if len(route.services) == 1:
             return route.services[0][0]
@@ -130,33 +130,33 @@
 
     def route(self, request: Request):
         host = request.low.get("host", "").rpartition(":")[0] or request.low.get("host", "")
-        return self.world.routes.find(host, request.target.partition("?")[0])
+        return self.view.routes.find(host, request.target.partition("?")[0])
 
     def alike(self, request: Request) -> bool:
         """Whether it may be carried beside others of its connection."""
-        route = self.route(request) if self.world.routes else None
+        route = self.route(request) if self.view.routes else None
         return route is not None and route.repeatable
 
     def carry(self, request: Request) -> Answer:
-        if self.world.routes is None:
+        if self.view.routes is None:
             return own(503, PAUSE)
         route = self.route(request)
         if route is None:
             self.count("no_route")
             return own(404)
-        line, now = self.line(route), time.monotonic_ns()
+        service, now = self.draw_service(route), time.monotonic_ns()
         wait = number(request.low.get("x-time-left-ms", ""))
         until = request.came + min(route.deadline, route.deadline if wait is None else wait * MS)
-        self.tally.request(slice_of(route, line))
-        budget = self.budget(line)
+        self.tally.request(slice_of(route, service))
+        budget = self.budget(service)
         budget.request(now)
         key = number(request.low.get("x-shard-key", ""))
         key = key if key is not None and key < KEYS else None
-        if key is not None and self.world.sharded(line):
-            self.tally.key(line, key // BUCKET)
+        if key is not None and self.view.sharded(service):
+            self.tally.key(service, key // BUCKET)
         size = self.gate.size(route.name, route.kind == "outbound_post")
         if not size:
-            return self.tries(request, route, line, key, until, budget)
+            return self.tries(request, route, service, key, until, budget)
         turn = Event()
         wake = turn.set
         if not self.gate.enter(size, wake) and not turn.wait(min(WAIT * route.aim, until - now) / SECOND):
@@ -164,36 +164,36 @@
                 self.count("no turn")
                 return own(503, PAUSE)
         try:
-            return self.tries(request, route, line, key, until, budget)
+            return self.tries(request, route, service, key, until, budget)
         finally:
             self.gate.leave(size)
 
-    def tries(self, request, route, line, key, until, budget) -> Answer:
-        world, tried, sent, dials, status = self.world, set(), 0, 0, 503
+    def tries(self, request, route, service, key, until, budget) -> Answer:
+        view, tried, sent, dials, status = self.view, set(), 0, 0, 503
         while True:
             now = time.monotonic_ns()
             if now >= until:
                 return own(504 if sent else 503, None if sent else PAUSE)
-            hut = self.choose(route, line, key, tried, now)
-            if hut is None and world.sharded(line) and now < request.came + int(KEY_WAIT * route.aim):
+            endpoint = self.choose(route, service, key, tried, now)
+            if endpoint is None and view.sharded(service) and now < request.came + int(KEY_WAIT * route.aim):
                 gevent.sleep(0.02)  # its keys are between two holders
                 tried.clear()
                 continue
-            if hut is None:
+            if endpoint is None:
                 self.count("nowhere")
                 return own(status, PAUSE if status == 503 else None)
-            if sent and not budget.may(now, world.here.fronts):
+            if sent and not budget.may(now, view.here.fronts):
                 self.count("budget")
                 return own(status, PAUSE if status == 503 else None)
             if sent:
                 budget.spend(now)
                 self.count("again")
-            tried.add(hut.id)
+            tried.add(endpoint.id)
             if route.repeatable and sent + 1 < route.tries:
-                outcome, more = self.paired(request, route, line, key, hut, tried, until, budget)
+                outcome, more = self.paired(request, route, service, key, endpoint, tried, until, budget)
                 sent += more
             else:
-                outcome = self.attempt(request, line, hut, until)
+                outcome = self.attempt(request, service, endpoint, until)
             if outcome.kind == ANSWERED:
                 self.gate.saw(route.name, len(outcome.message.body))
                 return self.passed(outcome.message, request)
@@ -203,57 +203,57 @@
             if step == "end" or sent >= route.tries or dials > 3:
                 return own(status, PAUSE if status == 503 else None)
 
-    def choose(self, route, line, key, tried, now):
-        world, depot = self.world, self.world.routes.depots.get(line)
-        rate, b, fronts = depot.cold_per_s if depot else 0.0, self.bounds, world.here.fronts
+    def choose(self, route, service, key, tried, now):
+        view, depot = self.view, self.view.routes.depots.get(service)
+        rate, b, fronts = depot.cold_per_s if depot else 0.0, self.bounds, view.here.fronts
         # Keys have one holder: all must be able to reach it, even if it is cold.
-        pilots = fronts if world.sharded(line) else cold_pilots(rate, b.cold_excess, b.cold_slack, fronts)
+        pilots = fronts if view.sharded(service) else cold_pilots(rate, b.cold_excess, b.cold_slack, fronts)
         return choose(
-            world.able(route, line, key, tried),
-            world.here,
+            view.able(route, service, key, tried),
+            view.here,
             route.aim,
-            self.usual(route, line),
+            self.usual(route, service),
             now,
             rate,
             pilots,
             random.random(),
-            world.tables.get(slice_of(route, line)),
+            view.tables.get(slice_of(route, service)),
         )
 
-    def usual(self, route, line) -> int:
-        return self.work.get(line, route.aim // 8)
+    def usual(self, route, service) -> int:
+        return self.work.get(service, route.aim // 8)
 
-    def attempt(self, request, line, hut, until) -> Outcome:
+    def attempt(self, request, service, endpoint, until) -> Outcome:
         """One request to one endpoint, and what it tells of it."""
         now = time.monotonic_ns()
-        if hut.cold_until > now:
-            hut.sent_cold = now
-        hut.sends(now)
+        if endpoint.cold_until > now:
+            endpoint.sent_cold = now
+        endpoint.sends(now)
         outcome = None
         try:
-            head = self.head(request, hut, until - now)
+            head = self.head(request, endpoint, until - now)
             id = request.low.get("x-try-id", "")
-            depot = self.world.routes.depots.get(line)
+            depot = self.view.routes.depots.get(service)
             idle = IDLE
             if depot:
-                idle = idle_for(hut, self.world.here, depot.berth_cap, IDLE, depot.sharded)
+                idle = idle_for(endpoint, self.view.here, depot.berth_cap, IDLE, depot.sharded)
             outcome = exchange(
-                hut.wires,
+                endpoint.pool,
                 head,
                 request.body,
                 id,
                 until,
                 CONNECT_S,
                 idle,
-                lambda: self.world.takes(hut),
-                request.wires,
+                lambda: self.view.takes(endpoint),
+                request.connections,
             )
             return outcome
         finally:
             after = time.monotonic_ns()
-            hut.ends(outcome is not None and outcome.message is not None, after)
+            endpoint.ends(outcome is not None and outcome.message is not None, after)
             if outcome is not None:
-                self.judge(hut, line, outcome, after, after - now)
+                self.judge(endpoint, service, outcome, after, after - now)
 
     def told_to(self, ends: SimpleQueue, *attempt) -> None:
         outcome = Outcome(BROKEN)
@@ -262,52 +262,52 @@
         finally:
             ends.put(outcome)
 
-    def paired(self, request, route, line, key, hut, tried, until, budget) -> tuple[Outcome, int]:
+    def paired(self, request, route, service, key, endpoint, tried, until, budget) -> tuple[Outcome, int]:
         """A try, and a second beside it where the first stays silent; how many were sent beside it.
 
         The first is never broken off: its endpoint may be at work, and its answer may still be the first.
         """
         ends = SimpleQueue()
-        gevent.spawn(self.told_to, ends, request, line, hut, until)
+        gevent.spawn(self.told_to, ends, request, service, endpoint, until)
         try:
-            return ends.get(timeout=patience(route.aim, self.usual(route, line)) / SECOND), 0
+            return ends.get(timeout=patience(route.aim, self.usual(route, service)) / SECOND), 0
         except Empty:
             pass
         now = time.monotonic_ns()
-        other = self.choose(route, line, key, tried, now)
-        if other is None or not budget.may(now, self.world.here.fronts, SECOND_SHARE):
+        other = self.choose(route, service, key, tried, now)
+        if other is None or not budget.may(now, self.view.here.fronts, SECOND_SHARE):
             return ends.get(), 0
         budget.spend(now)
         self.count("beside")
         tried.add(other.id)
-        gevent.spawn(self.told_to, ends, request, line, other, until)
+        gevent.spawn(self.told_to, ends, request, service, other, until)
         first = ends.get()
         return (first if first.kind == ANSWERED else ends.get()), 1
 
-    def judge(self, hut, line, outcome, now, took) -> None:
+    def judge(self, endpoint, service, outcome, now, took) -> None:
         message = outcome.message
         if message is not None:
             load = [number(part.strip()) for part in (message.get("x-endpoint-load") or "").split(",")]
             if len(load) == 3 and None not in load:
-                hut.hears(load[0], load[1], now)
-                self.tally.told(hut.id, (load[0] + load[1]) / hut.berths)
+                endpoint.hears(load[0], load[1], now)
+                self.tally.told(endpoint.id, (load[0] + load[1]) / endpoint.berths)
         if outcome.kind == ANSWERED:
-            hut.well()
-            if self.world.sharded(line):
-                self.tally.answer(line, len(message.body))
-            self.work[line] = (7 * self.work.get(line, took) + took) // 8
+            endpoint.well()
+            if self.view.sharded(service):
+                self.tally.answer(service, len(message.body))
+            self.work[service] = (7 * self.work.get(service, took) + took) // 8
         elif outcome.kind == NOT_RUN:
             if message.status == 421:
-                hut.shun_until = max(hut.shun_until, now + 300 * MS)
+                endpoint.shun_until = max(endpoint.shun_until, now + 300 * MS)
             else:
-                hut.shun_until = max(hut.shun_until, now + 50 * MS)
+                endpoint.shun_until = max(endpoint.shun_until, now + 50 * MS)
         elif outcome.full:
-            hut.shun_until = max(hut.shun_until, now + FULL_FOR)
+            endpoint.shun_until = max(endpoint.shun_until, now + FULL_FOR)
             self.count("full")
         else:
-            hut.fails(now, self.world.sharded(line) and not outcome.dark)
+            endpoint.fails(now, self.view.sharded(service) and not outcome.dark)
             if outcome.dark:  # its idle connections are as dead
-                hut.wires.close()
+                endpoint.pool.close()
 
     def passed(self, message, request) -> Answer:
         dropped = hops(message.get("connection") or "")
--- a/flintreach/bothy/choice.py
+++ b/flintreach/proxy/choice.py
@@ -25,11 +25,11 @@
 
 
 @dataclass(slots=True, eq=False)
-class Hut:
+class Endpoint:
     """An endpoint as this process sees it."""
 
     id: str
-    line: str
+    service: str
     addr: str
     zone: str
     region: str
@@ -48,7 +48,7 @@
     gap: int = SECOND  # usual time between our requests to it, smoothed, and when the last one went
     sent_at: int = 0
     own: bool = True  # this process's part of the zone's endpoints
-    wires: object = None
+    pool: object = None
 
     def load(self, now: int) -> float:
         """Requests there, ours and what is left of the others' that it told of."""
@@ -102,19 +102,19 @@
     return max(1, min(fronts, int(COLD_PART * (rate * (excess - 1) + slack))))
 
 
-def divide(huts: list[Hut], me: int, fronts: int) -> None:
+def divide(endpoints: list[Endpoint], me: int, fronts: int) -> None:
     """Give each front of a zone its part of the endpoints of each service and zone: `me` of `fronts`.
 
     A front knows the load that it brings at once and that of others late: where all choose among all, they
     choose the same ones.  It is a preference alone; what one's part can't take goes to the others.
     """
-    groups: dict[tuple[str, str], list[Hut]] = {}
-    for hut in huts:
-        groups.setdefault((hut.line, hut.zone), []).append(hut)
-    for (line, zone), group in groups.items():
-        start = zlib.crc32(f"{line} {zone}".encode())
-        for place, hut in enumerate(sorted(group, key=lambda hut: hut.id), start):
-            hut.own = fronts <= 1 or place % fronts == me
+    groups: dict[tuple[str, str], list[Endpoint]] = {}
+    for endpoint in endpoints:
+        groups.setdefault((endpoint.service, endpoint.zone), []).append(endpoint)
+    for (service, zone), group in groups.items():
+        start = zlib.crc32(f"{service} {zone}".encode())
+        for place, endpoint in enumerate(sorted(group, key=lambda endpoint: endpoint.id), start):
+            endpoint.own = fronts <= 1 or place % fronts == me
 
 
 def may_warm(here: Here, id: str, cold_per_s: float, last: int, now: int, pilots: int) -> bool:
@@ -125,17 +125,17 @@
     return turn < pilots and now - last >= pilots * SECOND / cold_per_s
 
 
-def idle_for(hut: Hut, here: Here, cap: int, most: int, sole: bool = False) -> int:
+def idle_for(endpoint: Endpoint, here: Here, cap: int, most: int, sole: bool = False) -> int:
     """How long (ns) a connection to an endpoint may lie idle, lest all pilots' fill what it accepts.
 
     Each zone has one front that an endpoint is the part of: these are its main users, and keep some, that of
     its own zone the most.  To the others, and to the `sole` holder of keys, a connection stands open for this
     time at each use: the uses of all pilots times it are the connections they hold.
     """
-    if hut.own and not sole:
-        kept = MINE_PART * cap if hut.zone == here.zone else MINE_PART * cap // max(1, here.zones - 1)
-        return most if len(hut.wires.idle) < max(1, kept) else 0
-    return min(most, int(IDLE_PART * cap / max(1, here.fronts) * hut.gap))
+    if endpoint.own and not sole:
+        kept = MINE_PART * cap if endpoint.zone == here.zone else MINE_PART * cap // max(1, here.zones - 1)
+        return most if len(endpoint.pool.idle) < max(1, kept) else 0
+    return min(most, int(IDLE_PART * cap / max(1, here.fronts) * endpoint.gap))
 
 
 def patience(aim: int, work: int) -> int:
@@ -143,18 +143,18 @@
     return int(max(EARLY * aim, min(LATEST * aim, USUAL * work)))
 
 
-def cost(hut: Hut, here: Here, aim: int, work: int, now: int) -> float:
+def cost(endpoint: Endpoint, here: Here, aim: int, work: int, now: int) -> float:
     """What sending there is expected to cost, in nanoseconds of waiting."""
-    way = 0 if hut.zone == here.zone else NEXT * aim if hut.region == here.region else FAR * aim
-    load = hut.load(now)
-    over = load + 1 - hut.berths
-    way += 0 if hut.own else OTHERS * aim
-    way += 0 if hut.wires is None or hut.wires.idle else FRESH * aim
-    return way + (over / hut.berths * work if over > 0 else 0.0) + 0.25 * work * load / hut.berths
+    way = 0 if endpoint.zone == here.zone else NEXT * aim if endpoint.region == here.region else FAR * aim
+    load = endpoint.load(now)
+    over = load + 1 - endpoint.berths
+    way += 0 if endpoint.own else OTHERS * aim
+    way += 0 if endpoint.pool is None or endpoint.pool.idle else FRESH * aim
+    return way + (over / endpoint.berths * work if over > 0 else 0.0) + 0.25 * work * load / endpoint.berths
 
 
 def choose(
-    huts: list[Hut],
+    endpoints: list[Endpoint],
     here: Here,
     aim: int,
     work: int,
@@ -163,22 +163,24 @@
     pilots: int,
     chance: float,
     table: frozenset[str] | None = None,
-) -> Hut | None:
+) -> Endpoint | None:
     """The endpoint for a try, of those that may serve it; None where none may."""
     best, least = None, 0.0
-    for place, hut in enumerate(huts):
-        if hut.shun_until > now:
+    for place, endpoint in enumerate(endpoints):
+        if endpoint.shun_until > now:
             continue
-        if hut.cold_until > now and not may_warm(here, hut.id, cold_per_s, hut.sent_cold, now, pilots):
+        if endpoint.cold_until > now and not may_warm(
+            here, endpoint.id, cold_per_s, endpoint.sent_cold, now, pilots
+        ):
             continue
         # A little chance keeps pilots that see the same from all doing the same.
-        price = cost(hut, here, aim, work, now) + 0.1 * work * ((chance * (place + 7) * 0.618) % 1)
-        if table and hut.id not in table:
+        price = cost(endpoint, here, aim, work, now) + 0.1 * work * ((chance * (place + 7) * 0.618) % 1)
+        if table and endpoint.id not in table:
             price += OFF * aim
-        if hut.since and now - hut.since > 2 * patience(aim, work):
+        if endpoint.since and now - endpoint.since > 2 * patience(aim, work):
             price += 2 * aim  # silent since then: a machine without power says nothing
         if best is None or price < least:
-            best, least = hut, price
+            best, least = endpoint, price
     return best
 
 
--- a/flintreach/bothy/endpoint.py
+++ b/flintreach/proxy/connection.py
@@ -10,7 +10,7 @@
 import gevent
 from gevent import socket
 
-from flintreach.bothy.reply import HTTPParseError, Message, Replies, number
+from flintreach.proxy.reply import HTTPParseError, Message, Replies, number
 from flintreach.rope.link import RESET
 from flintreach.waymark.settings import place
 
@@ -31,7 +31,7 @@
         self.kind, self.message, self.dark, self.full = kind, message, dark, full
 
 
-class Wire:
+class Connection:
     """One connection to an endpoint."""
 
     __slots__ = ("sock", "idle_at", "keep")
@@ -60,13 +60,13 @@
         self.sock.close()
 
 
-class Wires:
+class ConnectionPool:
     """Idle connections to one endpoint; the one used last is used first."""
 
     def __init__(self, addr: str):
         self.address, self.idle = place(addr), []
 
-    def connect(self, timeout: float) -> Wire:
+    def connect(self, timeout: float) -> Connection:
         sock = socket.create_connection(self.address, timeout=timeout)
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -75,50 +75,52 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
-        return Wire(sock)
+        return Connection(sock)
 
-    def take(self, but=()) -> Wire | None:
+    def take(self, but=()) -> Connection | None:
         """An idle connection that is well, none of `but`; None where there is none."""
-        now, aside = time.monotonic_ns(), [wire for wire in self.idle if wire in but]
-        self.idle = [wire for wire in self.idle if wire not in but] if aside else self.idle
+        now, aside = time.monotonic_ns(), [connection for connection in self.idle if connection in but]
+        self.idle = [connection for connection in self.idle if connection not in but] if aside else self.idle
         try:
             while self.idle:
-                wire = self.idle.pop()
-                if wire.usable(now):
-                    return wire
-                wire.drop()
+                connection = self.idle.pop()
+                if connection.usable(now):
+                    return connection
+                connection.drop()
             return None
         finally:
             self.idle += aside
 
-    def put(self, wire: Wire, message, most: int) -> None:
+    def put(self, connection: Connection, message, most: int) -> None:
         """Keep a connection for later, `most` nanoseconds at the longest."""
         told = message.get("keep-alive") or ""
-        wire.idle_at, wire.keep = time.monotonic_ns(), min(IDLE, most)
+        connection.idle_at, connection.keep = time.monotonic_ns(), min(IDLE, most)
         for part in told.split(","):
             name, _, value = part.strip().partition("=")
             if name.lower() == "timeout" and (seconds := number(value)) is not None:
-                wire.keep = min(wire.keep, max(0, seconds * 1_000_000_000 - 1_000_000_000))
-        if wire.keep > 0:
-            self.idle.append(wire)
+                connection.keep = min(connection.keep, max(0, seconds * 1_000_000_000 - 1_000_000_000))
+        if connection.keep > 0:
+            self.idle.append(connection)
         else:
-            wire.drop()
+            connection.drop()
 
     def prune(self, now: int) -> None:
         """End connections that have lain idle too long: they count against what their endpoint accepts."""
-        for wire in [wire for wire in self.idle if now - wire.idle_at > wire.keep]:
-            self.idle.remove(wire)
-            wire.drop()
+        for connection in [
+            connection for connection in self.idle if now - connection.idle_at > connection.keep
+        ]:
+            self.idle.remove(connection)
+            connection.drop()
 
     def close(self) -> None:
         while self.idle:
             self.idle.pop().drop()
 
 
-def turned_away(wire: Wire) -> bool:
+def turned_away(connection: Connection) -> bool:
     """Whether a fresh connection was ended at once: then nothing was sent on it, and nothing has run."""
     try:
-        socket.wait_read(wire.sock.fileno(), timeout=LOOK_S)
+        socket.wait_read(connection.sock.fileno(), timeout=LOOK_S)
     except (OSError, TimeoutError):
         return False
     return True  # bytes before any request are no answer either
@@ -145,7 +147,7 @@
 
 
 def exchange(
-    wires: Wires,
+    pool: ConnectionPool,
     head: bytes,
     body: bytes,
     id: str,
@@ -160,29 +162,29 @@
     `used`: connections that this request went out on before, to which its own is added."""
     # The id tells answers apart, so none goes twice on one connection, and one without an id goes alone.
     used = [] if used is None else used
-    wire = wires.take(used) if id else None
-    if wire is None:
+    connection = pool.take(used) if id else None
+    if connection is None:
         left = (until - time.monotonic_ns()) / 1e9
         if left <= 0:
             return Outcome(UNSENT)
         try:
-            wire = wires.connect(min(connect_s, left))
+            connection = pool.connect(min(connect_s, left))
         except OSError as error:
             return Outcome(UNSENT, dark=error.errno not in (errno.ECONNREFUSED, errno.ECONNRESET))
-        if turned_away(wire):
-            wire.drop()
+        if turned_away(connection):
+            connection.drop()
             return Outcome(UNSENT, full=True)
     if not still():
         # While the connection came up, news came: the endpoint leaves, or its zone is emptied.
-        wire.drop()
+        connection.drop()
         return Outcome(UNSENT)
-    used.append(wire)
+    used.append(connection)
     replies, size, keep = Replies(head.startswith(b"HEAD ")), 0, False
     try:
         with gevent.Timeout(max(0.0, (until - time.monotonic_ns()) / 1e9)):
-            wire.sock.sendall(head + body)
+            connection.sock.sendall(head + body)
             while True:
-                data = wire.sock.recv(65536)
+                data = connection.sock.recv(65536)
                 if not data:
                     break
                 try:
@@ -206,6 +208,6 @@
         return Outcome(BROKEN, dark=error.errno in (errno.ETIMEDOUT, errno.EHOSTUNREACH))
     finally:
         if keep:
-            wires.put(wire, found, most)
+            pool.put(connection, found, most)
         else:
-            wire.drop()
+            connection.drop()
--- a/flintreach/bothy/front.py
+++ b/flintreach/proxy/front.py
@@ -12,7 +12,7 @@
 from gevent import pywsgi, socket
 from gevent.event import Event
 
-from flintreach.bothy.carry import Answer, Carrier, Request, own
+from flintreach.proxy.carry import Answer, Carrier, Request, own
 
 TOKEN = frozenset("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
 AHEAD = 8  # requests of one connection in hand at once
--- a/flintreach/bothy/program.py
+++ b/flintreach/proxy/program.py
@@ -1,4 +1,4 @@
-"""`flintreach bothy`: one process on a machine that clients reach."""
+"""`flintreach proxy`: one process on a machine that clients reach."""
 
 import signal
 import sys
@@ -8,12 +8,12 @@
 from gevent import pywsgi
 from gevent.event import Event
 
-from flintreach.bothy.carry import Carrier
-from flintreach.bothy.choice import Here
-from flintreach.bothy.front import Front
-from flintreach.bothy.world import World
 from flintreach.lookout.roster import Member
 from flintreach.lookout.watch import Lookout
+from flintreach.proxy.carry import Carrier
+from flintreach.proxy.choice import Here
+from flintreach.proxy.front import Front
+from flintreach.proxy.view import RoutingView
 from flintreach.rope.bundle import Bundle
 from flintreach.trail.board import Board
 from flintreach.trail.relay import Relay
@@ -26,19 +26,19 @@
 
 POST, REFUGE_POST = 1, 0  # places of the programs in the spare ports
 TALLY_S, LEAVE_S, PRUNE_S = 1.0, 1.0, 0.4
-ROLE = "bothy"
+ROLE = "bothy"  # the role's name on the wire between instances, also of earlier texts
 
 
-class Bothy:
+class Proxy:
     def __init__(self, node: settings.Node):
         self.node, me = node, node.sender
         address = node.inner(POST)
         self.bundle, self.board = Bundle(address), Board(time.monotonic)
         self.here = Here(me.zone, me.region, name=me.node_name)
-        self.world = World(self.board, self.here, node.network.zones, time.monotonic_ns, node.bounds)
+        self.view = RoutingView(self.board, self.here, node.network.zones, time.monotonic_ns, node.bounds)
         self.counts: dict[str, int] = {}
         self.tally = Tally()
-        self.carrier = Carrier(self.world, node.bounds, self.counts, self.tally, me.limits.link_mbps)
+        self.carrier = Carrier(self.view, node.bounds, self.counts, self.tally, me.limits.link_mbps)
         posts = {"front": node.network.posts["front"], "mbps": str(me.limits.link_mbps)}
         member = Member(
             me.node_name,
@@ -59,7 +59,7 @@
         self.is_ready, self.stopping = False, Event()
 
     def limits(self) -> Caps:
-        routes = self.world.routes
+        routes = self.view.routes
         return routes.table.limits if routes else Caps()
 
     def parents(self) -> list[tuple[str, int]]:
@@ -96,8 +96,8 @@
         while True:
             gevent.sleep(PRUNE_S)
             now = time.monotonic_ns()
-            for hut in [*self.world.huts.values()]:
-                hut.wires.prune(now)
+            for endpoint in [*self.view.endpoints.values()]:
+                endpoint.pool.prune(now)
 
     def run(self) -> int:
         self.bundle.start()
@@ -119,14 +119,14 @@
     def get_ready(self) -> None:
         """Clients come once this process knows what is in force, as fresh as a refuge has it."""
         while not self.stopping.is_set():
-            if self.world.routes is not None and self.relay.age() < 1.0:
+            if self.view.routes is not None and self.relay.age() < 1.0:
                 break
             gevent.sleep(0.05)
         if not self.stopping.is_set():
             self.front.start()
             self.is_ready = True
             self.lookout.change(ready=True)
-            say("ready", edition=self.world.routes.number, endpoints=len(self.world.huts))
+            say("ready", edition=self.view.routes.number, endpoints=len(self.view.endpoints))
 
     def leave(self) -> int:
         """What was read is answered; nobody is sent here any more."""
@@ -157,4 +157,4 @@
     except settings.SettingsError as error:
         print(f"flintreach: {error}", file=sys.stderr)
         sys.exit(2)
-    sys.exit(Bothy(node).run())
+    sys.exit(Proxy(node).run())
--- a/flintreach/bothy/world.py
+++ b/flintreach/proxy/view.py
@@ -1,24 +1,24 @@
-"""What a bothy knows from the news: routes, endpoints, tables, keys, evacuated zones.  No I/O."""
+"""What a proxy knows from the news: routes, endpoints, tables, keys, evacuated zones.  No I/O."""
 
 from bisect import bisect_right
 from typing import Any
 
 import msgspec
 
-from flintreach.bothy.choice import LAST_CALL, Here, Hut, divide
-from flintreach.bothy.endpoint import Wires
+from flintreach.proxy.choice import LAST_CALL, Endpoint, Here, divide
+from flintreach.proxy.connection import ConnectionPool
 from flintreach.trail.board import Board
 from flintreach.waymark.timetable import Routes, Timetable
 
 MS, SECOND = 1_000_000, 1_000_000_000
 
 
-def slice_of(route, line: str) -> str:
+def slice_of(route, service: str) -> str:
     """The name of a slice: one route and one of its services."""
-    return f"{route.name} {line}"
+    return f"{route.name} {service}"
 
 
-class World:
+class RoutingView:
     """Kept by the parcels of a board as they come."""
 
     def __init__(self, board: Board, here: Here, zones: dict[str, str], clock, bounds):
@@ -27,8 +27,8 @@
         self.last_call = int(LAST_CALL * bounds.last_call_ms * MS)
         self.last_stay = int(LAST_CALL * bounds.evacuate_ms * MS)
         self.routes: Routes | None = None
-        self.huts: dict[str, Hut] = {}
-        self.lines: dict[str, dict[str, Hut]] = {}
+        self.endpoints: dict[str, Endpoint] = {}
+        self.services: dict[str, dict[str, Endpoint]] = {}
         self.away: dict[str, int] = {}  # zones to which nothing more goes, and since when that is known
         self.divided: tuple[int, int] | None = None  # the places by which endpoints were divided last
         self.tables: dict[str, frozenset[str]] = {}  # slice -> endpoints
@@ -39,15 +39,17 @@
     def hear(self, key: str, version: Any, value: Any) -> None:
         kind, _, name = key.partition("/")
         if kind == "hut":
-            self.hut(name, value)
+            self.on_endpoint(name, value)
         elif kind == "timetable":
             self.routes = Routes(msgspec.json.decode(value, type=Timetable))
         elif kind == "evac":
             away = {zone: self.away.get(zone, self.clock()) for zone, on in value.items() if on}
             # Its endpoints may have turned cold while they were empty, and their beats tell it late.
-            for hut in self.huts.values():
-                if hut.zone in self.away and hut.zone not in away:
-                    hut.cold_until = max(hut.cold_until, self.clock() + self.cold_time(hut.line))
+            for endpoint in self.endpoints.values():
+                if endpoint.zone in self.away and endpoint.zone not in away:
+                    endpoint.cold_until = max(
+                        endpoint.cold_until, self.clock() + self.cold_time(endpoint.service)
+                    )
             self.away = away
         elif kind == "slice" and value is None:
             self.tables.pop(name, None)
@@ -59,34 +61,34 @@
             rows = sorted((low, high, holder) for low, high, holder, state in value if state == "held")
             self.keys[name] = [low for low, _, _ in rows], [(high, holder) for _, high, holder in rows]
 
-    def cold_time(self, line: str) -> int:
-        depot = self.routes.depots.get(line) if self.routes else None
+    def cold_time(self, service: str) -> int:
+        depot = self.routes.depots.get(service) if self.routes else None
         return int((depot.cold_s if depot else 0) * SECOND)
 
-    def hut(self, id: str, told: dict | None) -> None:
-        held = self.huts.get(id)
+    def on_endpoint(self, id: str, told: dict | None) -> None:
+        held = self.endpoints.get(id)
         if told is None or told["state"] == "gone":
             if held is not None:
-                del self.huts[id]
-                line = self.lines[held.line]
-                del line[id]
-                if not line:
-                    del self.lines[held.line]
+                del self.endpoints[id]
+                group = self.services[held.service]
+                del group[id]
+                if not group:
+                    del self.services[held.service]
                 held.state = "gone"
-                held.wires.close()
+                held.pool.close()
                 self.divided = None
             return
         if held is None:
-            held = self.huts[id] = Hut(
+            held = self.endpoints[id] = Endpoint(
                 id,
                 told["line"],
                 told["addr"],
                 told["zone"],
                 self.zones.get(told["zone"], ""),
                 max(1, told["berths"]),
-                wires=Wires(told["addr"]),
+                pool=ConnectionPool(told["addr"]),
             )
-            self.lines.setdefault(told["line"], {})[id] = held
+            self.services.setdefault(told["line"], {})[id] = held
             self.divided = None
         if told["state"] == "closing" and held.state != "closing":
             held.closing_at = self.clock()
@@ -94,44 +96,44 @@
         cold = self.clock() + told["cold"] * MS if told["cold"] else 0
         held.cold_until = max(held.cold_until, cold) if cold else held.cold_until
 
-    def holder(self, line: str, key: int) -> str | None:
-        lows, rows = self.keys.get(line, ([], []))
+    def holder(self, service: str, key: int) -> str | None:
+        lows, rows = self.keys.get(service, ([], []))
         place = bisect_right(lows, key) - 1
         if place >= 0 and key <= rows[place][0]:
             return rows[place][1]
         return None
 
-    def sharded(self, line: str) -> bool:
-        depot = self.routes.depots.get(line)
+    def sharded(self, service: str) -> bool:
+        depot = self.routes.depots.get(service)
         return depot is not None and depot.sharded
 
-    def stays(self, hut: Hut) -> bool:
+    def stays(self, endpoint: Endpoint) -> bool:
         now = self.clock()
-        return (hut.state != "closing" or now - hut.closing_at < self.last_call) and now - self.away.get(
-            hut.zone, now
-        ) < self.last_stay
+        return (
+            endpoint.state != "closing" or now - endpoint.closing_at < self.last_call
+        ) and now - self.away.get(endpoint.zone, now) < self.last_stay
 
-    def takes(self, hut: Hut) -> bool:
+    def takes(self, endpoint: Endpoint) -> bool:
         """Whether anything may go to an endpoint at all: the rules on leaving and on evacuations."""
-        if self.sharded(hut.line):
-            return hut.state != "gone" and self.stays(hut)
-        return hut.state not in ("closing", "gone") and hut.zone not in self.away
+        if self.sharded(endpoint.service):
+            return endpoint.state != "gone" and self.stays(endpoint)
+        return endpoint.state not in ("closing", "gone") and endpoint.zone not in self.away
 
-    def able(self, route, line: str, key: int | None, tried: set[str]) -> list[Hut]:
+    def able(self, route, service: str, key: int | None, tried: set[str]) -> list[Endpoint]:
         """Endpoints that may serve a try: the rules bind first, then what is well."""
         if self.divided != self.here.mates:
             self.divided = self.here.mates
-            divide([*self.huts.values()], *self.divided)
-        if self.sharded(line):
-            hut = self.huts.get(self.holder(line, key) or "") if key is not None else None
-            found = [hut] if hut is not None else []
+            divide([*self.endpoints.values()], *self.divided)
+        if self.sharded(service):
+            endpoint = self.endpoints.get(self.holder(service, key) or "") if key is not None else None
+            found = [endpoint] if endpoint is not None else []
         else:
-            found = self.lines.get(line, {}).values()
+            found = self.services.get(service, {}).values()
         homes = route.homes
         found = [
-            hut
-            for hut in found
-            if self.takes(hut) and hut.id not in tried and (not homes or hut.region in homes)
+            endpoint
+            for endpoint in found
+            if self.takes(endpoint) and endpoint.id not in tried and (not homes or endpoint.region in homes)
         ]
         now = self.clock()
-        return [hut for hut in found if hut.there(now)] or found
+        return [endpoint for endpoint in found if endpoint.there(now)] or found
--- a/flintreach/refuge/placing.py
+++ b/flintreach/refuge/placing.py
@@ -1,4 +1,4 @@
-"""Placement, keys and directions at a refuge: what it decides from the sums that come up from the bothies."""
+"""Placement, keys and directions at a refuge: what it decides from the sums that come up from the proxies."""
 
 import zlib
 
--- a/flintreach/standins/camp.py
+++ b/flintreach/standins/camp.py
@@ -1,4 +1,4 @@
-"""The whole system on this machine's loopback: refuges and bothies as processes, endpoints as stand-ins here.
+"""The whole system on this machine's loopback: refuges and proxies as processes, endpoints as stand-ins here.
 
 Each machine of the deployment is an address of its own under 127.0.0.0/8, so all use the same ports, as on
 real machines.  For a first look (`flintreach camp`) and for tests of the programs over sockets.
@@ -90,7 +90,7 @@
         base: str,
         port: int,
         refuges: int = 3,
-        bothies: int = 3,
+        proxies: int = 3,
         folder: str | None = None,
         first_run: bool = True,
     ):
@@ -98,8 +98,8 @@
         self.folder = folder or tempfile.mkdtemp(prefix="flintreach-camp-")
         names, self.machines, self.endpoints = [*ZONES], [], []
         self.losses = {"machines": (refuges - 1) // 2 and 1, "zones": int(refuges >= len(ZONES))}
-        for number in range(refuges + bothies):
-            role = "refuge" if number < refuges else "bothy"
+        for number in range(refuges + proxies):
+            role = "refuge" if number < refuges else "proxy"
             zone = names[(number if role == "refuge" else number - refuges) % len(names)]
             self.machines.append(
                 Machine(
@@ -182,7 +182,7 @@
         headers: dict | None = None,
         body: bytes = b"",
     ):
-        """One request to a bothy: (status, body, headers by lower name), or None if it does not answer."""
+        """One request to a proxy: (status, body, headers by lower name), or None if it does not answer."""
         host, port = machine.posts["front"].split(":")
         client = HTTPClient(host, int(port), connection_timeout=0.5, network_timeout=5.0)
         try:
@@ -212,9 +212,9 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def serve(bothies: int, refuges: int, desks: int, stores: int, port: int) -> int:
+def serve(proxies: int, refuges: int, desks: int, stores: int, port: int) -> int:
     """Start a camp, say how to ask it, and stay until SIGINT or SIGTERM."""
-    camp, ending = Camp("127.41.7", port, refuges, bothies), gevent.event.Event()
+    camp, ending = Camp("127.41.7", port, refuges, proxies), gevent.event.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
         gevent.signal_handler(number, ending.set)
     try:
@@ -224,13 +224,13 @@
             print(f"flintreach: no refuge took a configuration; logs under {camp.folder}", file=sys.stderr)
             camp.own = False
             return 1
-        first, refuge = camp.of("bothy")[0], camp.of("refuge")[0]
+        first, refuge = camp.of("proxy")[0], camp.of("refuge")[0]
         good = lambda path, **more: (camp.ask(first, path, headers=more) or (0,))[0] == 200  # noqa: E731
         served = camp.wait(
             lambda: good("/look/1") and good("/fetch/1", **{"X-Shard-Key": "7"}), time.monotonic() + 30
         )
         front = first.posts["front"]
-        print(f"{refuges} refuges, {bothies} bothies, {desks + stores} endpoints; logs under {camp.folder}")
+        print(f"{refuges} refuges, {proxies} proxies, {desks + stores} endpoints; logs under {camp.folder}")
         print(f"  curl -H 'Host: camp.example' http://{front}/look/7")
         print(f"  curl -H 'Host: camp.example' -H 'X-Shard-Key: 7' http://{front}/fetch/7")
         print(f"  python3 -m flintreach show status --at {refuge.ip}:{port + 4}")
--- a/flintreach/standins/simulated_site.py
+++ b/flintreach/standins/simulated_site.py
@@ -1,6 +1,6 @@
-"""A site in simulation: machines with refuges and bothies, built of the shipped parts, and calls to them.
+"""A site in simulation: machines with refuges and proxies, built of the shipped parts, and calls to them.
 
-The processes are put together as `refuge/program.py` and `bothy/program.py` do it, without their sockets;
+The processes are put together as `refuge/program.py` and `proxy/program.py` do it, without their sockets;
 callers reach a refuge through `control.Control`, so the statuses are those that they would see.
 """
 
@@ -11,11 +11,11 @@
 import msgspec
 from gevent.pywsgi import Input
 
-from flintreach.bothy.program import ROLE as BOTHY
 from flintreach.bunks.keeping import GRANT
 from flintreach.cairn.voters import Voters
 from flintreach.hutbook.book import Book
 from flintreach.lookout.roster import Member
+from flintreach.proxy.program import ROLE as PROXY
 from flintreach.refuge import keys
 from flintreach.refuge.care import ROLE
 from flintreach.refuge.control import Control
@@ -41,7 +41,7 @@
 from flintreach.trail.tree import parents
 from flintreach.waymark import settings
 
-REFUGE_POST, BOTHY_POST = 0, 1
+REFUGE_POST, PROXY_POST = 0, 1
 UNPACK = msgspec.msgpack.decode
 BOUNDS = {
     "list_lag_s": 3,
@@ -78,7 +78,7 @@
         self.refuges, zones, regions, self.machines, self.zones = chance.choice(rows)
         self.places = {f"z{n}": f"r{n % regions}" for n in range(zones)}
         self.report_ms = chance.choice((600, 1000, 1500))
-        self.bothies = chance.choice((1, 2, 2, 3))
+        self.proxies = chance.choice((1, 2, 2, 3))
         self.sharded = chance.random() < 0.4
 
 
@@ -143,17 +143,17 @@
         self.store.end()
 
 
-class Bothy(Process):
-    """What a bothy is to the news: a child of two parents, with a board.  It takes no requests."""
+class Proxy(Process):
+    """What a proxy is to the news: a child of two parents, with a board.  It takes no requests."""
 
     def __init__(self, site: "Site", machine: Machine):
         super().__init__(site.sim, machine, machine.name, site.crashed)
-        self.node = site.node(machine, BOTHY, False)
-        self.bundle = Bundle(self.node.inner(BOTHY_POST), self.host)
+        self.node = site.node(machine, PROXY, False)
+        self.bundle = Bundle(self.node.inner(PROXY_POST), self.host)
         me = self.node.sender
         member = Member(
             me.node_name,
-            BOTHY,
+            PROXY,
             *self.bundle.address,
             me.zone,
             me.region,
@@ -174,7 +174,7 @@
         roster = self.lookout.roster
         known = roster.alive(ROLE)
         refuges = [member for member in known if member.ready] or known
-        return [m.address for m in parents(roster.me, refuges, roster.alive(BOTHY))] if refuges else []
+        return [m.address for m in parents(roster.me, refuges, roster.alive(PROXY))] if refuges else []
 
 
 class Keeper(keys.Keeper):
@@ -206,7 +206,7 @@
         self.on_answer: list = []  # called once each, with the machine that acknowledges next
         self.on_release = None  # called once, with the machine that is about to ask for keys back
         self.refuges: dict[str, Machine] = {}
-        self.bothies: dict[str, Machine] = {}
+        self.proxies: dict[str, Machine] = {}
         self.endpoints: dict[str, SimpleNamespace] = {}  # address -> who is there now
         self.number = 0
         outside = Machine(self.network, "outside", "0.0.0.0", "", "")
@@ -217,8 +217,8 @@
         for n in range(shape.refuges):
             self.machine(self.refuges, "refuge", zones[n % len(zones)])
         self.seeds = [f"{m.ip}:8166" for m in [*self.refuges.values()][:3]]
-        for n in range(shape.bothies):
-            self.machine(self.bothies, "bothy", zones[n % len(zones)])
+        for n in range(shape.proxies):
+            self.machine(self.proxies, "proxy", zones[n % len(zones)])
 
     def machine(self, table: dict, role: str, zone: str) -> Machine:
         self.number += 1
@@ -260,8 +260,8 @@
     def start(self, machine: Machine, first_run: bool = False) -> None:
         if not machine.powered:
             machine.boot()
-        if machine.ip in self.bothies:
-            machine.process = Bothy(self, machine)
+        if machine.ip in self.proxies:
+            machine.process = Proxy(self, machine)
         else:
             machine.process = Refuge(self, machine, first_run)
         self.sim.note(machine.name, "starts" + (" for the first time" if first_run else ""))
--- a/flintreach/standins/simulated_trial.py
+++ b/flintreach/standins/simulated_trial.py
@@ -171,7 +171,7 @@
         self.back(machine)
 
     def start_again(self, machine) -> None:
-        there = machine.ip in self.site.refuges or machine.ip in self.site.bothies  # not removed meanwhile
+        there = machine.ip in self.site.refuges or machine.ip in self.site.proxies  # not removed meanwhile
         if there and (machine.process is None or not machine.process.alive):
             self.site.start(machine)
 
@@ -302,9 +302,9 @@
                 self.later(machine, span, lambda: None)
 
     def harmless(self) -> None:
-        """What costs no machine: steps of the time of day, exchanged seeds, bothies that go."""
+        """What costs no machine: steps of the time of day, exchanged seeds, proxies that go."""
         chance, site = self.chance, self.site
-        what = chance.choice(("clock", "seeds", "bothy"))
+        what = chance.choice(("clock", "seeds", "proxy"))
         if what == "clock":
             machine = chance.choice([*site.refuges.values()])
             machine.clock += chance.choice((-1, 1)) * chance.randint(100, 600_000)
@@ -315,7 +315,7 @@
             for refuge in site.up():
                 refuge.reread()
         else:
-            machine = chance.choice([*site.bothies.values()])
+            machine = chance.choice([*site.proxies.values()])
             if machine.process is not None and machine.process.alive:
                 self.note(machine, "killed")
                 self.site.end(machine, power=chance.random() < 0.5)
@@ -415,7 +415,7 @@
     def heal_all(self) -> None:
         """Whatever an undoing left."""
         self.over = True
-        for machine in [*self.site.refuges.values(), *self.site.bothies.values()]:
+        for machine in [*self.site.refuges.values(), *self.site.proxies.values()]:
             self.start_again(machine)
 
 
@@ -430,7 +430,7 @@
         f"or {shape.zones} zones; report {shape.report_ms} ms",
     )
     slow = chance.choice([*site.refuges.values()]) if chance.random() < 0.2 else None
-    for machine in [*site.refuges.values(), *site.bothies.values()]:
+    for machine in [*site.refuges.values(), *site.proxies.values()]:
         late = chance.uniform(0.5, 4.0) if machine is slow else 0.0
         if machine is slow:
             faults.take(machine)
@@ -489,7 +489,7 @@
 def churn(sim: Simulation, site: Site, watch: Watch, seconds: float = 60, rest: float = 160) -> None:
     """Endpoints come and go in calm, then none is new; what is left of those that are gone."""
     callers = Callers(site, watch)
-    for machine in [*site.refuges.values(), *site.bothies.values()]:
+    for machine in [*site.refuges.values(), *site.proxies.values()]:
         site.start(machine, True)
     callers.start(sim.now + int(seconds * SECOND), quiet=True)
     sim.run(sim.now + int((seconds + rest) * SECOND))
--- a/flintreach/standins/simulated_watch.py
+++ b/flintreach/standins/simulated_watch.py
@@ -249,7 +249,7 @@
     # Now and then, and at the end.
 
     def processes(self):
-        found = [m.process for m in (*self.site.refuges.values(), *self.site.bothies.values())]
+        found = [m.process for m in (*self.site.refuges.values(), *self.site.proxies.values())]
         return [process for process in found if process is not None and process.alive and not process.frozen]
 
     def board(self, process):
--- a/flintreach/trail/tally.py
+++ b/flintreach/trail/tally.py
@@ -1,4 +1,4 @@
-"""What bothies tell upward, summed up at each relay: requests by slice and endpoints' told load.  Pure."""
+"""What proxies tell upward, summed up at each relay: requests by slice and endpoints' told load.  Pure."""
 
 
 class Tally:
--- a/flintreach/waymark/calls.py
+++ b/flintreach/waymark/calls.py
@@ -8,7 +8,7 @@
 - within: how long ago the call may have been read.  Callers move on after a second, and what is confirmed
   later they have asked of another.
 
-A bothy answers `ready`, by the age of its news (`trail/relay.py`).
+A proxy answers `ready`, by the age of its news (`trail/relay.py`).
 """
 
 TABLE = (
--- a/flintreach/waymark/desk.py
+++ b/flintreach/waymark/desk.py
@@ -109,11 +109,11 @@
         typer.echo(call(control, "GET", "/v1/timetable/get").decode())
 
     @app.command()
-    def camp(bothies: int = 3, refuges: int = 3, desks: int = 4, stores: int = 2, port: int = 7600) -> None:
+    def camp(proxies: int = 3, refuges: int = 3, desks: int = 4, stores: int = 2, port: int = 7600) -> None:
         """The whole system on this machine's loopback, with stand-in endpoints, until it is interrupted."""
         from flintreach.standins.camp import serve
 
-        raise typer.Exit(serve(bothies, refuges, desks, stores, port))
+        raise typer.Exit(serve(proxies, refuges, desks, stores, port))
 
     @app.command()
     def state(folder: Path, as_json: bool = typer.Option(False, "--json", help="Rows as JSON.")) -> None:
--- a/tests/test_system_answers.py
+++ b/tests/test_system_answers.py
@@ -15,10 +15,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from flintreach.bothy.carry import Carrier
-from flintreach.bothy.choice import Here
-from flintreach.bothy.front import Front
-from flintreach.bothy.world import World
+from flintreach.proxy.carry import Carrier
+from flintreach.proxy.choice import Here
+from flintreach.proxy.front import Front
+from flintreach.proxy.view import RoutingView
 from flintreach.rope.bundle import Bundle
 from flintreach.rope.link import Closed, dial
 from flintreach.standins.adversary import ACTS, RESET, Adversary, Asked, Pilot, packed, text
@@ -144,7 +144,7 @@
     """A front with its carrier, and endpoints in trouble: two alike, and one that holds all keys."""
 
     def __init__(self):
-        self.huts = [Adversary("e0"), Adversary("e1"), Adversary("k0")]
+        self.endpoints = [Adversary("e0"), Adversary("e1"), Adversary("k0")]
         self.numbers = itertools.count(1)
         self.front = Front(("127.0.0.1", 0), None, Caps)
         self.renew()
@@ -155,18 +155,18 @@
         for handler in [*self.front.handlers]:
             handler.end()
         board = Board()
-        self.world = World(board, Here("n", "r"), {"n": "r"}, time.monotonic_ns, Bounds())
+        self.view = RoutingView(board, Here("n", "r"), {"n": "r"}, time.monotonic_ns, Bounds())
         board.offer("timetable", 1, config)
-        for hut, script in itertools.zip_longest(self.huts, scripts, fillvalue=()):
-            hut.forget()
-            hut.script.extend(script)
-            hut.portion = portion
+        for endpoint, script in itertools.zip_longest(self.endpoints, scripts, fillvalue=()):
+            endpoint.forget()
+            endpoint.script.extend(script)
+            endpoint.portion = portion
             board.offer(
-                f"hut/{hut.id}",
+                f"hut/{endpoint.id}",
                 [1, 0],
                 {
-                    "line": "lot" if hut.id == "k0" else "desk",
-                    "addr": hut.addr,
+                    "line": "lot" if endpoint.id == "k0" else "desk",
+                    "addr": endpoint.addr,
                     "zone": "n",
                     "berths": 4,
                     "state": "ready",
@@ -176,7 +176,7 @@
         board.offer("bunks/lot", [1, 1], [[0, 65535, "k0", "held"]])
         self.counts = {}
         bounds = Bounds(retry_slack=1000)
-        self.front.carrier = self.carrier = Carrier(self.world, bounds, self.counts, Tally())
+        self.front.carrier = self.carrier = Carrier(self.view, bounds, self.counts, Tally())
 
     def request(self, kind: str) -> Sent:
         id = f"{next(self.numbers):016x}"
@@ -184,29 +184,31 @@
         return Sent(kind, id, method, path % id, f"body of {id}".encode() if method == "POST" else b"")
 
     def say(self, client: Client, sent: Sent) -> None:
-        for hut in self.world.huts.values():  # in use whatever it did: the next request meets what it left
-            hut.well()
-            hut.since = 0
+        for (
+            endpoint
+        ) in self.view.endpoints.values():  # in use whatever it did: the next request meets what it left
+            endpoint.well()
+            endpoint.since = 0
         client.say(sent, *(["X-Shard-Key: 7"] if sent.kind == "keyed" else []))
 
     def settle(self) -> None:
         """Until nothing is under way any more."""
         with gevent.Timeout(5):
-            while any(hut.mine for hut in self.world.huts.values()) or self.front.handlers:
+            while any(endpoint.mine for endpoint in self.view.endpoints.values()) or self.front.handlers:
                 gevent.sleep(0.001)
-        for hut in self.world.huts.values():
-            hut.wires.close()
+        for endpoint in self.view.endpoints.values():
+            endpoint.pool.close()
 
     def ran(self, sent: Sent) -> int:
-        return sum(hut.ran[sent.id] for hut in self.huts)
+        return sum(endpoint.ran[sent.id] for endpoint in self.endpoints)
 
     def judge(self, sent: Sent, got: Got | None) -> str:
         """What is wrong with the answer to a request, empty where nothing is; asked when all is settled."""
         ran, repeatable = self.ran(sent), KINDS[sent.kind][2]
         if not repeatable and ran > 1:
             return f"run {ran} times"
-        for hut in self.huts:
-            for asked in hut.came:
+        for endpoint in self.endpoints:
+            for asked in endpoint.came:
                 if asked.id == sent.id and (asked.method, asked.target, asked.body) != sent[2:]:
                     return f"not what was sent: {asked}"
         if got is None:
@@ -217,7 +219,7 @@
             return f"{got.status} promised, and it has run"
         if 200 <= got.status < 300:
             asked = Asked(sent.method, sent.target, {"x-try-id": sent.id}, sent.body)
-            bodies = {f"{hut.id}.{sent.id}": text(asked, hut.id) for hut in self.huts}
+            bodies = {f"{endpoint.id}.{sent.id}": text(asked, endpoint.id) for endpoint in self.endpoints}
             stamp = got.headers.get("x-postmark")
             if stamp not in bodies or not ran:
                 return f"{got.status} with stamp {stamp}"
@@ -243,8 +245,8 @@
     @classmethod
     def tearDownClass(cls):
         cls.stage.front.stop(timeout=0)
-        for hut in cls.stage.huts:
-            hut.stop()
+        for endpoint in cls.stage.endpoints:
+            endpoint.stop()
 
     def play(self, scripts, kinds, ahead=1, leave=None, portion=1 << 20, config=QUICK) -> list:
         """Requests on one connection, `ahead` of them sent before their answers are read; the client goes
@@ -428,12 +430,12 @@
         """Nothing tells its answer from another's."""
         stage = self.stage
         stage.renew([[], [], ["answer", "surplus later", "surplus later"]])
-        client, found, hut = Client(stage.front.address), [], stage.world.huts["k0"]
-        before = stage.huts[2].opened
+        client, found, endpoint = Client(stage.front.address), [], stage.view.endpoints["k0"]
+        before = stage.endpoints[2].opened
         for name, id in (("first", "17"), ("second", ""), ("third", ""), ("fourth", "18")):
             sent = Sent("keyed", id, "POST", f"/k/{name}", b"")
             found.append(self.one(sent, "X-Shard-Key: 7", client=client).body.split(b" ")[3])
-            found.append((stage.huts[2].opened - before, len(hut.wires.idle)))
+            found.append((stage.endpoints[2].opened - before, len(endpoint.pool.idle)))
         client.end()
         stage.settle()
         self.assertEqual(
@@ -456,14 +458,14 @@
         got = self.one(sent, "Connection: X-Try-Id, Host, X-Other", "X-Other: 1")
         stage.settle()
         self.assertEqual((got.status, stage.judge(sent, got), stage.ran(sent)), (200, "", 1))
-        (asked,) = [asked for hut in stage.huts for asked in hut.came]
+        (asked,) = [asked for endpoint in stage.endpoints for asked in endpoint.came]
         self.assertEqual(("x-other" in asked.low, asked.low["host"]), (False, "a"))
 
     def test_the_next_owner_of_an_address_runs_nothing(self):
         stage = self.stage
         for kind in ("look", "book", "keyed"):
             stage.renew()
-            for other in stage.huts:
+            for other in stage.endpoints:
                 warm = stage.request(kind)  # so that a connection stands
                 self.one(warm, "X-Shard-Key: 7")
                 other.id, old = "stranger", other.id
@@ -472,8 +474,8 @@
                     got = [self.one(each, "X-Shard-Key: 7") for each in sent]
                 finally:
                     other.id = old
-                for hut in stage.world.huts.values():
-                    hut.well()
+                for endpoint in stage.view.endpoints.values():
+                    endpoint.well()
             stage.settle()
             for each, answer in zip(sent, got):
                 self.assertEqual(stage.judge(each, answer), "")
@@ -484,11 +486,11 @@
         """Its holder refuses it, then runs it: a surplus refusal has the id of the answer that is due."""
         stage = self.stage
         stage.renew([[], [], ["refused twice"]])
-        before, sent = stage.huts[2].opened, stage.request("keyed")
+        before, sent = stage.endpoints[2].opened, stage.request("keyed")
         got = self.one(sent, "X-Shard-Key: 7")
         stage.settle()
         self.assertEqual((stage.judge(sent, got), got.status, stage.ran(sent)), ("", 200, 1))
-        self.assertEqual(stage.huts[2].opened - before, 2)
+        self.assertEqual(stage.endpoints[2].opened - before, 2)
 
     def test_only_a_connection_that_brought_one_whole_answer_is_used_again(self):
         """The id would tell what else comes on it, but a second guard stands before that."""
@@ -518,17 +520,17 @@
             for kind in ("book", "look"):
                 stage.renew([[act]] * 3, config=PATIENT if count else QUICK)
                 self.one(stage.request(kind))
-                huts = stage.world.huts.values()
+                endpoints = stage.view.endpoints.values()
                 with gevent.Timeout(5):
-                    while any(hut.mine for hut in huts):
+                    while any(endpoint.mine for endpoint in endpoints):
                         gevent.sleep(0.001)
-                held = {len(hut.wires.idle) for hut in huts if hut.sent_at}
+                held = {len(endpoint.pool.idle) for endpoint in endpoints if endpoint.sent_at}
                 self.assertEqual(held, {count}, (act, kind))
                 stage.settle()
 
     def test_an_idle_connection_is_looked_at_before_it_is_used(self):
         """Closed, reset, or with bytes on it: what must not run twice would be lost, with no promise."""
-        stage, there = self.stage, self.stage.huts[2]
+        stage, there = self.stage, self.stage.endpoints[2]
         for trouble in ("close", "reset", "bytes"):
             stage.renew()
             self.one(stage.request("keyed"), "X-Shard-Key: 7")
@@ -539,7 +541,7 @@
                 if trouble == "reset":
                     line.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
                 line.sock.close()
-            (idle,) = stage.world.huts["k0"].wires.idle
+            (idle,) = stage.view.endpoints["k0"].pool.idle
             gevent.socket.wait_read(idle.sock.fileno(), timeout=5)  # it has come
             sent = stage.request("keyed")
             got = self.one(sent, "X-Shard-Key: 7")
@@ -551,7 +553,7 @@
         for act, most in (("many others", 1 << 20), ("never whole", 100)):
             stage.renew([[act], [act]])
             sent = stage.request("book")
-            with mock.patch("flintreach.bothy.endpoint.MOST", most):
+            with mock.patch("flintreach.proxy.connection.MOST", most):
                 self.assertEqual(self.one(sent).status, 502, act)  # not 504: it was not waited for
             stage.settle()
 
--- a/tests/test_system_camp.py
+++ b/tests/test_system_camp.py
@@ -38,16 +38,16 @@
 class Whole(unittest.TestCase):
     def setUp(self):
         base = f"127.{40 + os.getpid() % 80}.{os.getpid() // 80 % 250}"
-        self.camp = Camp(base, free_port(base), refuges=3, bothies=2)
+        self.camp = Camp(base, free_port(base), refuges=3, proxies=2)
         self.addCleanup(self.camp.stop)
         self.until = time.monotonic() + BOUND
 
-    def file(self, count, bothies=None):
-        """Filings at the bothies in turn: (status, id) of each."""
+    def file(self, count, proxies=None):
+        """Filings at the proxies in turn: (status, id) of each."""
         found = []
 
         def one(number):
-            machines = bothies or self.camp.of("bothy")
+            machines = proxies or self.camp.of("proxy")
             id = f"{number:04}{os.urandom(6).hex()}"
             answer = self.camp.ask(
                 machines[number % len(machines)], f"/file/{number}", "POST", {"X-Try-Id": id}, b"a report"
@@ -72,7 +72,7 @@
         key = {"X-Shard-Key": "40000"}
         self.assertTrue(
             camp.wait(
-                lambda: all(self.serves(m) and self.serves(m, "/fetch/1", **key) for m in camp.of("bothy")),
+                lambda: all(self.serves(m) and self.serves(m, "/fetch/1", **key) for m in camp.of("proxy")),
                 self.until,
             )
         )
@@ -100,14 +100,14 @@
             self.assertGreater(sum(status == 200 for status, _ in answers), 10)
 
         with self.subTest("what was read is answered at a SIGTERM"):
-            bothy = camp.of("bothy")[0]
-            slow = gevent.spawn(self.file, 4, [bothy])
+            proxy = camp.of("proxy")[0]
+            slow = gevent.spawn(self.file, 4, [proxy])
             camp.wait(lambda: any(e.running for e in camp.endpoints), self.until)
-            bothy.process.send_signal(signal.SIGTERM)
+            proxy.process.send_signal(signal.SIGTERM)
             answers = slow.get()
             self.assertEqual({status for status, _ in answers}, {200})
-            self.assertTrue(camp.wait(lambda: bothy.process.poll() is not None, self.until))
-            self.assertEqual(bothy.process.returncode, 0)
+            self.assertTrue(camp.wait(lambda: proxy.process.poll() is not None, self.until))
+            self.assertEqual(proxy.process.returncode, 0)
 
         with self.subTest("all are killed, and what was acknowledged stands on the disks"):
             for machine in camp.machines:
@@ -120,7 +120,7 @@
                 machine.start()
             self.assertTrue(
                 camp.wait(
-                    lambda: any(self.serves(m, "/fetch/1", **key) for m in camp.of("bothy")), self.until
+                    lambda: any(self.serves(m, "/fetch/1", **key) for m in camp.of("proxy")), self.until
                 )
             )
             with open(os.path.join(camp.of("refuge")[2].folder, "log"), encoding="utf-8") as log:
@@ -148,7 +148,7 @@
 
     def test_voters_hand_over_at_a_sigterm_and_by_an_order(self):
         """The words `leaving`, `disk`, `sync` and `replace` over sockets, each followed by a loss."""
-        self.camp = camp = Camp(self.camp.base, self.camp.port, refuges=4, bothies=1)
+        self.camp = camp = Camp(self.camp.base, self.camp.port, refuges=4, proxies=1)
         self.addCleanup(camp.stop)
         camp.start()
         self.assertTrue(self.vote(0, 1, 2), "the fourth would put two of four into one zone")
--- a/tests/test_system_carrying.py
+++ b/tests/test_system_carrying.py
@@ -10,14 +10,23 @@
 import msgspec
 from gevent.event import Event
 
-from flintreach.bothy.carry import Carrier, Request
-from flintreach.bothy.choice import SECOND, Here
-from flintreach.bothy.endpoint import ANSWERED, BROKEN, NOT_RUN, TIMEOUT, UNSENT, Outcome, Wire, exchange
-from flintreach.bothy.gate import FIRST, Gate
-from flintreach.bothy.reply import Message
-from flintreach.bothy.world import World
 from flintreach.cairn.voters import Voters
 from flintreach.lookout.roster import Member
+from flintreach.proxy.carry import Carrier, Request
+from flintreach.proxy.choice import SECOND, Here
+from flintreach.proxy.connection import (
+    ANSWERED,
+    BROKEN,
+    NOT_RUN,
+    TIMEOUT,
+    UNSENT,
+    Connection,
+    Outcome,
+    exchange,
+)
+from flintreach.proxy.gate import FIRST, Gate
+from flintreach.proxy.reply import Message
+from flintreach.proxy.view import RoutingView
 from flintreach.refuge.contact import NEVER, Contact
 from flintreach.refuge.placing import TTL, Placing, leader
 from flintreach.trail.board import Board
@@ -63,7 +72,7 @@
 def world(config, endpoints, clock=None):
     """A world told by news; `endpoints`: id -> zone."""
     board, clock = Board(), clock or Clock()
-    made = World(board, Here("n", "r"), {"n": "r", "s": "q"}, clock, Bounds())
+    made = RoutingView(board, Here("n", "r"), {"n": "r", "s": "q"}, clock, Bounds())
     board.offer("timetable", 1, config)
     for number, (id, zone) in enumerate(endpoints.items()):
         board.offer(f"hut/{id}", [1, 0], told(zone, number))
@@ -88,15 +97,15 @@
         super().__init__(made, Bounds(retry_slack=100), {}, Tally())
         self.script, self.sent, self.let_go = script, [], Event()
 
-    def attempt(self, request, line, hut, until):
-        self.sent.append(hut.id)
+    def attempt(self, request, line, endpoint, until):
+        self.sent.append(endpoint.id)
         kind = self.script.pop(0)
         if kind == "hang":
             self.let_go.wait()
             kind = BROKEN
         message = Message()
         message.status = 200 if kind == ANSWERED else 503
-        message.headers = [["X-Postmark", hut.id]]
+        message.headers = [["X-Postmark", endpoint.id]]
         return Outcome(kind, message if kind in (ANSWERED, NOT_RUN) else None)
 
 
@@ -198,7 +207,7 @@
 class Known(unittest.TestCase):
     def able(self, made, key=None):
         route = made.routes.all[0]
-        return sorted(hut.id for hut in made.able(route, "desk", key, set()))
+        return sorted(endpoint.id for endpoint in made.able(route, "desk", key, set()))
 
     def test_who_leaves_or_stands_in_an_evacuated_zone_gets_nothing_more(self):
         made, board, clock = world(configured(), {"a": "n", "b": "n", "c": "s"})
@@ -213,23 +222,23 @@
 
     def test_what_waited_for_a_connection_is_not_sent_to_one_that_leaves_meanwhile(self):
         made, board, clock = world(configured(), {"e0": "n"})
-        hut, sent = made.huts["e0"], []
+        endpoint, sent = made.endpoints["e0"], []
 
         def connect(timeout):
             board.offer("hut/e0", [2, 0], told("n", 0, "closing"))
             here, there = gevent.socket.socketpair()
             sent.append(there)
-            return Wire(here)
+            return Connection(here)
 
-        with mock.patch.object(hut.wires, "connect", connect):
+        with mock.patch.object(endpoint.pool, "connect", connect):
             out = exchange(
-                hut.wires,
+                endpoint.pool,
                 b"GET / HTTP/1.1\r\n\r\n",
                 b"",
                 "i",
                 time.monotonic_ns() + 9 * SECOND,
                 1.0,
-                still=lambda: made.takes(hut),
+                still=lambda: made.takes(endpoint),
             )
         self.assertEqual(out.kind, UNSENT)
         self.assertEqual(sent[0].recv(10), b"")
@@ -262,8 +271,8 @@
         made, board, clock = world(config, {"a": "n", "c": "s"})
         board.offer("evac", 1, {"s": True})
         board.offer("evac", 2, {"s": False})
-        self.assertEqual(made.huts["c"].cold_until, clock.now + 3 * SECOND)
-        self.assertEqual(made.huts["a"].cold_until, 0)
+        self.assertEqual(made.endpoints["c"].cold_until, clock.now + 3 * SECOND)
+        self.assertEqual(made.endpoints["a"].cold_until, 0)
 
 
 class Refuges(unittest.TestCase):
--- a/tests/test_system_endpoints.py
+++ b/tests/test_system_endpoints.py
@@ -8,8 +8,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from flintreach.bothy.choice import Here
-from flintreach.bothy.world import World
 from flintreach.bunks.keeping import Keeping
 from flintreach.bunks.plan import Allocation, Heat
 from flintreach.bunks.warmth import Warmth
@@ -28,6 +26,8 @@
     Book,
     Record,
 )
+from flintreach.proxy.choice import Here
+from flintreach.proxy.view import RoutingView
 from flintreach.refuge.endpoints import Endpoints
 from flintreach.refuge.orders import Orders
 from flintreach.refuge.placing import Placing
@@ -289,7 +289,7 @@
 
     def test_a_bothy_forgets_what_is_dropped(self):
         board = Board(self.clock.now)
-        known = World(board, Here("n", "r"), {"north": "r"}, self.clock.now_ns, Bounds())
+        known = RoutingView(board, Here("n", "r"), {"north": "r"}, self.clock.now_ns, Bounds())
         for id in ("y", "z"):
             board.offer(f"hut/{id}", [1, 0], hut(addr="10.9.9.9:80"))
             board.offer(f"slice/r {id}", 1, ["z"])
@@ -298,11 +298,11 @@
         board.offer("bunks/z", [1, 1, 1], None)
         board.drop("hut/z")
         self.assertEqual(
-            [[*held] for held in (known.huts, known.tables, known.keys, known.lines["desk"])],
+            [[*held] for held in (known.endpoints, known.tables, known.keys, known.services["desk"])],
             [["y"], ["r y"], ["y"], ["y"]],
         )
         board.drop("hut/y")
-        self.assertEqual(known.lines, {})
+        self.assertEqual(known.services, {})
 
 
 class Done:
@@ -359,7 +359,7 @@
         return self.refuges[old.address]
 
     def follow(self, board):
-        """A bothy's board comes up to the first refuge's."""
+        """A proxy's board comes up to the first refuge's."""
         self.board("first", self[0].board)
         follow = Follow(self, board, "first")
         follow.begin()
@@ -752,8 +752,8 @@
         """2,000 lives of endpoints, ten at a time, a third of which crash; 500 changes of the map; a crowd of
         ids that nobody else ever heard of."""
         net, draw = Net(), random.Random(5)
-        bothy = Board(net.now)
-        world = World(bothy, Here("n", "r"), {"north": "r"}, net.now_ns, Bounds())
+        proxy = Board(net.now)
+        world = RoutingView(proxy, Here("n", "r"), {"north": "r"}, net.now_ns, Bounds())
         orders = [Orders(refuge) for refuge in net]
         live, begun, sizes, digests = {}, 0, [], set()
         while begun < 2000 or live:
@@ -782,9 +782,9 @@
                 refuge.endpoints.turn(0.0)
                 refuge.board.expire()
             net.carry()
-            net.follow(bothy)
-            bothy.expire()
-            digests.add(len(bothy.digest()))
+            net.follow(proxy)
+            proxy.expire()
+            digests.add(len(proxy.digest()))
             sizes.append(
                 [
                     begun,
@@ -804,8 +804,8 @@
                             )
                         )
                     ),
-                    len(bothy.parcels),
-                    len(world.huts),
+                    len(proxy.parcels),
+                    len(world.endpoints),
                     len(world.tables),
                 ]
             )
@@ -816,7 +816,7 @@
             "disk rows",
             "noted rows",
             "tombstones",
-            "bothy's parcels",
+            "proxy's parcels",
             "its endpoints",
             "its tables",
         ]
@@ -833,13 +833,15 @@
                 refuge.endpoints.turn(0.0)
                 refuge.board.expire()
             net.carry()
-            net.follow(bothy)
-            bothy.expire()
+            net.follow(proxy)
+            proxy.expire()
         for refuge in net:
             self.assertEqual((refuge.book.records, refuge.book.claims, refuge.store.huts), ({}, {}, {}))
             self.assertEqual(len(refuge.board.parcels), 6)  # the map and its five tables
-        self.assertEqual((len(bothy.parcels), len(world.tables), world.huts, world.lines), (6, 5, {}, {}))
-        self.assertEqual(bothy.digest(), net[0].board.digest())
+        self.assertEqual(
+            (len(proxy.parcels), len(world.tables), world.endpoints, world.services), (6, 5, {}, {})
+        )
+        self.assertEqual(proxy.digest(), net[0].board.digest())
 
     def test_notes_on_grants_stand_as_long_as_their_ranges(self):
         keeping, held = Keeping("k", 10), Allocation.of(None)
--- a/tests/test_system_fuzz.py
+++ b/tests/test_system_fuzz.py
@@ -7,9 +7,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from flintreach.bothy.front import Bad, FrontHandler, Source, parse
-from flintreach.bothy.reply import HTTPParseError, Replies
 from flintreach.lookout.roster import Member, Roster
+from flintreach.proxy.front import Bad, FrontHandler, Source, parse
+from flintreach.proxy.reply import HTTPParseError, Replies
 from flintreach.waymark import timetable
 from flintreach.waymark.timetable import Caps
 
@@ -78,7 +78,7 @@
         return False
 
     def carry(self, request):
-        from flintreach.bothy.carry import Answer
+        from flintreach.proxy.carry import Answer
 
         self.came.append(request)
         return Answer(200, "OK", [], b"ok")
--- a/tests/test_system_parts.py
+++ b/tests/test_system_parts.py
@@ -11,20 +11,6 @@
 import gevent.socket
 import msgspec
 
-from flintreach.bothy.choice import (
-    SECOND,
-    Budget,
-    Here,
-    Hut,
-    choose,
-    cold_pilots,
-    divide,
-    idle_for,
-    may_warm,
-    patience,
-)
-from flintreach.bothy.endpoint import UNSENT, Wire, Wires, exchange
-from flintreach.bothy.reply import HTTPParseError, Replies
 from flintreach.bunks import plan
 from flintreach.bunks.plan import FREE, HELD, KEYS, LEAVING, Allocation, Heat
 from flintreach.cairn import wanted as wishes
@@ -46,6 +32,20 @@
     Record,
 )
 from flintreach.lookout.roster import ALIVE, BUCKETS, DEAD, SUSPECTED, Member, Roster, bucket
+from flintreach.proxy.choice import (
+    SECOND,
+    Budget,
+    Endpoint,
+    Here,
+    choose,
+    cold_pilots,
+    divide,
+    idle_for,
+    may_warm,
+    patience,
+)
+from flintreach.proxy.connection import UNSENT, Connection, ConnectionPool, exchange
+from flintreach.proxy.reply import HTTPParseError, Replies
 from flintreach.ridge.place import Place, Ridge
 from flintreach.rope.host import Host
 from flintreach.trail.board import Board
@@ -497,15 +497,15 @@
 
 
 class Carrying(unittest.TestCase):
-    def hut(self, id, zone="a", region="r", **more):
-        return Hut(id, "desk", "10.0.0.1:80", zone, region, 2, **more)
+    def endpoint(self, id, zone="a", region="r", **more):
+        return Endpoint(id, "desk", "10.0.0.1:80", zone, region, 2, **more)
 
     def test_which_endpoint(self):
         here, aim, work, now = Here("a", "r"), SECOND, SECOND // 8, 10 * SECOND
-        near, next_door, far = self.hut("n"), self.hut("x", "b"), self.hut("f", "c", "s")
-        busy = self.hut("b", mine=4)
-        dark = self.hut("d", mine=1, since=now - 2 * SECOND)
-        shunned = self.hut("s", shun_until=now + 1)
+        near, next_door, far = self.endpoint("n"), self.endpoint("x", "b"), self.endpoint("f", "c", "s")
+        busy = self.endpoint("b", mine=4)
+        dark = self.endpoint("d", mine=1, since=now - 2 * SECOND)
+        shunned = self.endpoint("s", shun_until=now + 1)
         cases = [
             ([far, next_door, near], near),
             ([busy, next_door], next_door),
@@ -515,29 +515,33 @@
             ([shunned], None),
             ([dark], dark),
         ]
-        for huts, wanted in cases:
-            self.assertIs(choose(huts, here, aim, work, now, 0.0, 1, 0.5), wanted, [hut.id for hut in huts])
+        for endpoints, wanted in cases:
+            self.assertIs(
+                choose(endpoints, here, aim, work, now, 0.0, 1, 0.5),
+                wanted,
+                [endpoint.id for endpoint in endpoints],
+            )
         table = frozenset(["x"])
         self.assertIs(choose([near, next_door], here, aim, work, now, 0.0, 1, 0.5, table), next_door)
 
     def test_fronts_of_a_zone_divide_its_endpoints_evenly(self):
         for fronts in (1, 2, 3, 5):
-            huts = [[self.hut(f"e{i}", zone="ab"[i % 2]) for i in range(11)] for _ in range(fronts)]
+            endpoints = [[self.endpoint(f"e{i}", zone="ab"[i % 2]) for i in range(11)] for _ in range(fronts)]
             for me in range(fronts):
-                divide(huts[me], me, fronts)
-            owners = [sum(huts[me][i].own for me in range(fronts)) for i in range(11)]
+                divide(endpoints[me], me, fronts)
+            owners = [sum(endpoints[me][i].own for me in range(fronts)) for i in range(11)]
             self.assertEqual(owners, [1] * 11)
-            parts = [sum(hut.own for hut in row) for row in huts]
+            parts = [sum(endpoint.own for endpoint in row) for row in endpoints]
             self.assertLessEqual(max(parts) - min(parts), 2)
 
     def test_one_that_answers_is_there_whatever_its_beats_say(self):
         """The trace of a cut core: beats that one refuge alone took made a third of a service silent."""
-        hut, now = self.hut("e", state="silent"), 10 * SECOND
-        self.assertFalse(hut.there(now))
-        hut.sends(now)
-        hut.ends(True, now)
-        self.assertTrue(hut.there(now + SECOND))
-        self.assertFalse(hut.there(now + 3 * SECOND))
+        endpoint, now = self.endpoint("e", state="silent"), 10 * SECOND
+        self.assertFalse(endpoint.there(now))
+        endpoint.sends(now)
+        endpoint.ends(True, now)
+        self.assertTrue(endpoint.there(now + SECOND))
+        self.assertFalse(endpoint.there(now + 3 * SECOND))
 
     def test_a_cold_endpoint_gets_no_more_than_it_bears_from_all_together(self):
         for fronts, rate, excess, slack in ((12, 3.6, 1.5, 5), (80, 5, 1.5, 8), (2, 19, 1, 2), (1, 1, 1, 0)):
@@ -580,38 +584,38 @@
         cap, fronts, most = 48, 67, 4 * SECOND
         here = Here("a", "r", fronts=fronts)
         for per_s in (0.02, 0.15, 1.0, 6.0):  # of each pilot, to the one holder of some keys
-            hut, now = self.hut("e", own=False), 0
+            endpoint, now = self.endpoint("e", own=False), 0
             for _ in range(200):
                 now += int(SECOND / per_s)
-                hut.sends(now)
-                hut.ends(True, now)
-            held = fronts * per_s * idle_for(hut, here, cap, most) / SECOND
+                endpoint.sends(now)
+                endpoint.ends(True, now)
+            held = fronts * per_s * idle_for(endpoint, here, cap, most) / SECOND
             self.assertLessEqual(held, 0.65 * cap)
-        main, here.zones = self.hut("e", wires=Wires("10.0.0.1:80")), 6
+        main, here.zones = self.endpoint("e", pool=ConnectionPool("10.0.0.1:80")), 6
         self.assertEqual(idle_for(main, here, cap, most), most)
         self.assertLess(idle_for(main, here, cap, most, sole=True), most)
-        far = self.hut("e", zone="b", wires=Wires("10.0.0.1:80"))
-        far.wires.idle = [None] * 2
+        far = self.endpoint("e", zone="b", pool=ConnectionPool("10.0.0.1:80"))
+        far.pool.idle = [None] * 2
         self.assertEqual((idle_for(main, here, cap, most), idle_for(far, here, cap, most)), (most, 0))
-        main.wires.idle = [None] * 15
+        main.pool.idle = [None] * 15
         self.assertEqual(idle_for(main, here, cap, most), 0)
 
     def test_a_connection_that_is_reset_at_once_has_sent_nothing(self):
         """An endpoint with as many connections as it takes resets the next: the request may go elsewhere."""
         here, there = gevent.socket.socketpair()
         there.close()
-        wires = Wires("10.0.0.1:80")
-        with mock.patch.object(wires, "connect", lambda timeout: Wire(here)):
-            out = exchange(wires, b"POST / HTTP/1.1", b"", "i", time.monotonic_ns() + 9 * SECOND, 1.0)
+        pool = ConnectionPool("10.0.0.1:80")
+        with mock.patch.object(pool, "connect", lambda timeout: Connection(here)):
+            out = exchange(pool, b"POST / HTTP/1.1", b"", "i", time.monotonic_ns() + 9 * SECOND, 1.0)
         self.assertEqual((out.kind, out.full, out.dark), (UNSENT, True, False))
 
     def test_a_sole_holder_is_not_shunned_for_long(self):
-        hut = self.hut("e")
+        endpoint = self.endpoint("e")
         for _ in range(6):
-            hut.fails(0, sole=True)
-        self.assertLessEqual(hut.shun_until, SECOND // 4)
-        hut.fails(0)
-        self.assertGreater(hut.shun_until, 2 * SECOND)
+            endpoint.fails(0, sole=True)
+        self.assertLessEqual(endpoint.shun_until, SECOND // 4)
+        endpoint.fails(0)
+        self.assertGreater(endpoint.shun_until, 2 * SECOND)
 
     def test_patience_stands_between_the_usual_and_the_aim(self):
         self.assertEqual([patience(1000, work) for work in (10, 150, 900)], [300, 450, 600])
@@ -829,7 +833,7 @@
 
 class Fronts(unittest.TestCase):
     def test_what_two_readers_could_take_for_two_things_is_refused(self):
-        from flintreach.bothy.front import Bad, parse
+        from flintreach.proxy.front import Bad, parse
 
         good = b"POST /a%2Fb?q=1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3"
         self.assertEqual(parse(good).target, "/a%2Fb?q=1")
@@ -852,7 +856,7 @@
 
     def test_a_request_under_way_is_not_idle(self):
         """The trace of LOST on a hunted day: the leaving loop closed a connection that worked."""
-        from flintreach.bothy.front import FrontHandler
+        from flintreach.proxy.front import FrontHandler
 
         class Quiet:
             def recv(self, *_):
