A proxy tells how old its view is when requests go out

Change: counters and histograms as Prometheus text under /metrics of the ready address, the greatest values in the log lines of an end; no change of logic.

--- a/flintreach/proxy/carry.py
+++ b/flintreach/proxy/carry.py
@@ -22,6 +22,7 @@
 )
 from flintreach.proxy.connection import ANSWERED, BROKEN, IDLE, NOT_RUN, UNSENT, Outcome, exchange
 from flintreach.proxy.gate import WAIT, Gate
+from flintreach.proxy.metrics import SEND_TIME, VIEW_AGE, Metrics
 from flintreach.proxy.reply import number
 from flintreach.proxy.view import RoutingView, slice_of
 from flintreach.trail.tally import Tally
@@ -93,15 +94,12 @@
 
 
 class Carrier:
-    def __init__(self, view: RoutingView, bounds, counts: dict[str, int], tally: Tally, mbps: float = 0.0):
-        self.view, self.bounds, self.counts, self.tally = view, bounds, counts, tally
+    def __init__(self, view: RoutingView, bounds, metrics: Metrics, tally: Tally, mbps: float = 0.0):
+        self.view, self.bounds, self.metrics, self.tally = view, bounds, metrics, tally
         self.budgets: dict[str, Budget] = {}
         self.gate = Gate(mbps)
         self.work: dict[str, int] = {}  # service -> how long its requests take, smoothed
 
-    def count(self, name: str) -> None:
-        self.counts[name] = self.counts.get(name, 0) + 1
-
     def budget(self, service: str) -> Budget:
         if service not in self.budgets:
             b = self.bounds
@@ -142,7 +140,7 @@
             return own(503, PAUSE)
         route = self.route(request)
         if route is None:
-            self.count("no_route")
+            self.metrics.count("no_route")
             return own(404)
         service, now = self.draw_service(route), time.monotonic_ns()
         wait = number(request.low.get("x-time-left-ms", ""))
@@ -161,7 +159,7 @@
         wake = turn.set
         if not self.gate.enter(size, wake) and not turn.wait(min(WAIT * route.aim, until - now) / SECOND):
             if self.gate.give_up(wake):
-                self.count("no turn")
+                self.metrics.count("no turn")
                 return own(503, PAUSE)
         try:
             return self.tries(request, route, service, key, until, budget)
@@ -180,14 +178,14 @@
                 tried.clear()
                 continue
             if endpoint is None:
-                self.count("nowhere")
+                self.metrics.count("nowhere")
                 return own(status, PAUSE if status == 503 else None)
             if sent and not budget.may(now, view.here.fronts):
-                self.count("budget")
+                self.metrics.count("budget")
                 return own(status, PAUSE if status == 503 else None)
             if sent:
                 budget.spend(now)
-                self.count("again")
+                self.metrics.count("again")
             tried.add(endpoint.id)
             if route.repeatable and sent + 1 < route.tries:
                 outcome, more = self.paired(request, route, service, key, endpoint, tried, until, budget)
@@ -197,7 +195,7 @@
             if outcome.kind == ANSWERED:
                 self.gate.saw(route.name, len(outcome.message.body))
                 return self.passed(outcome.message, request)
-            self.count(outcome.kind)
+            self.metrics.count(outcome.kind)
             sent, dials = sent + (outcome.kind != UNSENT), dials + (outcome.kind == UNSENT)
             step, status = TABLE[outcome.kind, route.repeatable]
             if step == "end" or sent >= route.tries or dials > 3:
@@ -247,6 +245,7 @@
                 idle,
                 lambda: self.view.takes(endpoint),
                 request.connections,
+                lambda: self.went_out(endpoint, now),
             )
             return outcome
         finally:
@@ -255,6 +254,13 @@
             if outcome is not None:
                 self.judge(endpoint, service, outcome, after, after - now)
 
+    def went_out(self, endpoint, chosen_at: int) -> None:
+        """The kernel has taken a whole request to an endpoint that was chosen at `chosen_at` (ns)."""
+        now = time.monotonic_ns()
+        endpoint.went_out_at = now
+        self.metrics.observe(SEND_TIME, now - chosen_at)
+        self.metrics.observe(VIEW_AGE, now - self.view.confirmed_at())
+
     def told_to(self, ends: SimpleQueue, *attempt) -> None:
         outcome = Outcome(BROKEN)
         try:
@@ -278,7 +284,7 @@
         if other is None or not budget.may(now, self.view.here.fronts, SECOND_SHARE):
             return ends.get(), 0
         budget.spend(now)
-        self.count("beside")
+        self.metrics.count("beside")
         tried.add(other.id)
         gevent.spawn(self.told_to, ends, request, service, other, until)
         first = ends.get()
@@ -303,7 +309,7 @@
                 endpoint.shun_until = max(endpoint.shun_until, now + 50 * MS)
         elif outcome.full:
             endpoint.shun_until = max(endpoint.shun_until, now + FULL_FOR)
-            self.count("full")
+            self.metrics.count("full")
         else:
             endpoint.fails(now, self.view.sharded(service) and not outcome.dark)
             if outcome.dark:  # its idle connections are as dead
--- a/flintreach/proxy/choice.py
+++ b/flintreach/proxy/choice.py
@@ -47,6 +47,7 @@
     sent_cold: int = 0  # when a request was last sent to it while cold
     gap: int = SECOND  # usual time between our requests to it, smoothed, and when the last one went
     sent_at: int = 0
+    went_out_at: int = 0  # when the kernel had last taken a whole request to it
     own: bool = True  # this process's part of the zone's endpoints
     pool: object = None
 
--- a/flintreach/proxy/connection.py
+++ b/flintreach/proxy/connection.py
@@ -6,6 +6,7 @@
 
 import errno
 import time
+from collections.abc import Callable
 
 import gevent
 from gevent import socket
@@ -156,10 +157,12 @@
     most: int = IDLE,
     still=lambda: True,
     used: list | None = None,
+    sent: Callable[[], None] = lambda: None,
 ) -> Outcome:
     """Send one request; `until`: steady nanoseconds at which nobody waits for the answer any more; `most`:
     nanoseconds for which its connection may lie idle afterwards; `still()`: whether it may be sent there;
-    `used`: connections that this request went out on before, to which its own is added."""
+    `used`: connections that this request went out on before, to which its own is added; `sent()`: called
+    when the kernel has taken all of it."""
     # The id tells answers apart, so none goes twice on one connection, and one without an id goes alone.
     used = [] if used is None else used
     connection = pool.take(used) if id else None
@@ -183,6 +186,7 @@
     try:
         with gevent.Timeout(max(0.0, (until - time.monotonic_ns()) / 1e9)):
             connection.sock.sendall(head + body)
+            sent()
             while True:
                 data = connection.sock.recv(65536)
                 if not data:
--- a/flintreach/proxy/program.py
+++ b/flintreach/proxy/program.py
@@ -13,6 +13,7 @@
 from flintreach.proxy.carry import Carrier
 from flintreach.proxy.choice import Here
 from flintreach.proxy.front import Front
+from flintreach.proxy.metrics import Metrics
 from flintreach.proxy.view import RoutingView
 from flintreach.rope.bundle import Bundle
 from flintreach.trail.board import Board
@@ -26,6 +27,8 @@
 
 POST, REFUGE_POST = 1, 0  # places of the programs in the spare ports
 TALLY_S, LEAVE_S, PRUNE_S = 1.0, 1.0, 0.4
+SECOND = 1_000_000_000
+METRICS_PATH = "/metrics"  # at the `ready` address
 ROLE = "bothy"  # the role's name on the wire between instances, also of earlier texts
 
 
@@ -35,10 +38,18 @@
         address = node.inner(POST)
         self.bundle, self.board = Bundle(address), Board(time.monotonic)
         self.here = Here(me.zone, me.region, name=me.node_name)
-        self.view = RoutingView(self.board, self.here, node.network.zones, time.monotonic_ns, node.bounds)
-        self.counts: dict[str, int] = {}
+        self.metrics = Metrics()
+        self.view = RoutingView(
+            self.board,
+            self.here,
+            node.network.zones,
+            time.monotonic_ns,
+            node.bounds,
+            self.confirmed_at,
+            self.metrics,
+        )
         self.tally = Tally()
-        self.carrier = Carrier(self.view, node.bounds, self.counts, self.tally, me.limits.link_mbps)
+        self.carrier = Carrier(self.view, node.bounds, self.metrics, self.tally, me.limits.link_mbps)
         posts = {"front": node.network.posts["front"], "mbps": str(me.limits.link_mbps)}
         member = Member(
             me.node_name,
@@ -58,6 +69,10 @@
         self.ready = pywsgi.WSGIServer(place(node.network.posts["ready"]), self.on_ready, log=None)
         self.is_ready, self.stopping = False, Event()
 
+    def confirmed_at(self) -> int:
+        """Steady nanoseconds up to which all that was acknowledged anywhere is known here."""
+        return int(self.relay.fresh_at * SECOND)
+
     def limits(self) -> Caps:
         routes = self.view.routes
         return routes.table.limits if routes else Caps()
@@ -82,6 +97,9 @@
         self.here.mates = mates.index(self.here.name), len(mates)
 
     def on_ready(self, environ, start):
+        if environ["PATH_INFO"] == METRICS_PATH:
+            start("200 OK", [("Content-Type", "text/plain; version=0.0.4")])
+            return [self.metrics.text().encode()]
         good = self.is_ready and not self.front.draining
         start("200 OK" if good else "503 Service Unavailable", [("Content-Type", "text/plain")])
         return [b"ready\n" if good else b"not ready\n"]
@@ -130,7 +148,7 @@
 
     def leave(self) -> int:
         """What was read is answered; nobody is sent here any more."""
-        say("leaving", counts=self.counts)
+        say("leaving", counts=self.metrics.counts, greatest=self.metrics.greatest())
         self.front.draining, end = True, time.monotonic() + self.node.bounds.grace_s - 0.7
         self.lookout.change(ready=False)
         if not self.is_ready:
@@ -145,7 +163,7 @@
                 break
             gevent.sleep(0.05)
         self.lookout.change(state=3)
-        say("stopped", counts=self.counts)
+        say("stopped", counts=self.metrics.counts, greatest=self.metrics.greatest())
         return 0
 
 
--- a/flintreach/proxy/view.py
+++ b/flintreach/proxy/view.py
@@ -1,12 +1,14 @@
 """What a proxy knows from the news: routes, endpoints, tables, keys, evacuated zones.  No I/O."""
 
 from bisect import bisect_right
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
 
 from flintreach.proxy.choice import LAST_CALL, Endpoint, Here, divide
 from flintreach.proxy.connection import ConnectionPool
+from flintreach.proxy.metrics import LATE_SEND, Metrics
 from flintreach.trail.board import Board
 from flintreach.waymark.timetable import Routes, Timetable
 
@@ -19,10 +21,24 @@
 
 
 class RoutingView:
-    """Kept by the parcels of a board as they come."""
-
-    def __init__(self, board: Board, here: Here, zones: dict[str, str], clock, bounds):
+    """Kept by the parcels of a board as they come.
+
+    `clock()`: steady nanoseconds.  `confirmed_at()`: a moment of that clock up to which all that was
+    acknowledged anywhere is known here (`Relay.age`); `metrics`: where sendings after a departure are told.
+    """
+
+    def __init__(
+        self,
+        board: Board,
+        here: Here,
+        zones: dict[str, str],
+        clock: Callable[[], int],
+        bounds,
+        confirmed_at: Callable[[], int] | None = None,
+        metrics: Metrics | None = None,
+    ):
         self.here, self.zones, self.clock = here, zones, clock
+        self.confirmed_at, self.metrics = confirmed_at or clock, metrics or Metrics()
         # A holder that leaves serves its keys until they have moved, well within what the rules allow.
         self.last_call = int(LAST_CALL * bounds.last_call_ms * MS)
         self.last_stay = int(LAST_CALL * bounds.evacuate_ms * MS)
@@ -67,6 +83,8 @@
 
     def on_endpoint(self, id: str, told: dict | None) -> None:
         held = self.endpoints.get(id)
+        if held is not None and held.state != "closing" and told and told["state"] in ("closing", "gone"):
+            self.departs(held)
         if told is None or told["state"] == "gone":
             if held is not None:
                 del self.endpoints[id]
@@ -96,6 +114,10 @@
         cold = self.clock() + told["cold"] * MS if told["cold"] else 0
         held.cold_until = max(held.cold_until, cold) if cold else held.cold_until
 
+    def departs(self, endpoint: Endpoint) -> None:
+        """Its departure was acknowledged after `confirmed_at`: how long after that did a request go out?"""
+        self.metrics.observe(LATE_SEND, max(0, endpoint.went_out_at - self.confirmed_at()))
+
     def holder(self, service: str, key: int) -> str | None:
         lows, rows = self.keys.get(service, ([], []))
         place = bisect_right(lows, key) - 1
--- a/tests/test_system_answers.py
+++ b/tests/test_system_answers.py
@@ -18,6 +18,7 @@
 from flintreach.proxy.carry import Carrier
 from flintreach.proxy.choice import Here
 from flintreach.proxy.front import Front
+from flintreach.proxy.metrics import Metrics
 from flintreach.proxy.view import RoutingView
 from flintreach.rope.bundle import Bundle
 from flintreach.rope.link import Closed, dial
@@ -174,9 +175,9 @@
                 },
             )
         board.offer("bunks/lot", [1, 1], [[0, 65535, "k0", "held"]])
-        self.counts = {}
+        self.metrics = Metrics()
         bounds = Bounds(retry_slack=1000)
-        self.front.carrier = self.carrier = Carrier(self.view, bounds, self.counts, Tally())
+        self.front.carrier = self.carrier = Carrier(self.view, bounds, self.metrics, Tally())
 
     def request(self, kind: str) -> Sent:
         id = f"{next(self.numbers):016x}"
@@ -304,14 +305,14 @@
             for kind in ("look", "head", "book", "keyed"):
                 with self.subTest(act=act, kind=kind):
                     found = self.play([[act], [act], [act]], [kind, "look", "book", "keyed"])
-                    self.check(found, self.stage.counts)
+                    self.check(found, self.stage.metrics.counts)
 
     def test_an_answer_that_is_well_arrives(self):
         for act in (act for act in PLAIN if act in ACTS):
             for kind in KINDS:
                 with self.subTest(act=act, kind=kind):
                     found = self.play([[act]] * 3, [kind, "look", "book", "keyed"], config=PATIENT)
-                    self.check(found, self.stage.counts)
+                    self.check(found, self.stage.metrics.counts)
                     self.assertEqual({got.status for _, got in found} - {200, 204}, set())
 
     def test_two_troubles_at_a_holder_of_keys(self):
@@ -319,7 +320,7 @@
             for second in ("refused twice", "late"):
                 with self.subTest(first=first, second=second):
                     found = self.play([[], [], [first, second]], ["keyed"] * 3)
-                    self.check(found, self.stage.counts)
+                    self.check(found, self.stage.metrics.counts)
 
 
 class Ways(OnSockets):
@@ -571,7 +572,7 @@
         self, scripts, kinds, ahead, leave, portion
     ):
         found = self.play(scripts, kinds, ahead, leave, portion)
-        self.check(found[:leave], self.stage.counts)
+        self.check(found[:leave], self.stage.metrics.counts)
 
 
 class Questions(unittest.TestCase):
--- a/tests/test_system_carrying.py
+++ b/tests/test_system_carrying.py
@@ -25,6 +25,7 @@
     exchange,
 )
 from flintreach.proxy.gate import FIRST, Gate
+from flintreach.proxy.metrics import Metrics
 from flintreach.proxy.reply import Message
 from flintreach.proxy.view import RoutingView
 from flintreach.refuge.contact import NEVER, Contact
@@ -94,7 +95,7 @@
     """`script`: what comes of each attempt, in their order; "hang" waits for `let_go`."""
 
     def __init__(self, made, script):
-        super().__init__(made, Bounds(retry_slack=100), {}, Tally())
+        super().__init__(made, Bounds(retry_slack=100), Metrics(), Tally())
         self.script, self.sent, self.let_go = script, [], Event()
 
     def attempt(self, request, line, endpoint, until):
@@ -197,7 +198,7 @@
 
     def test_one_that_gets_no_turn_is_sent_away_with_a_time_to_come_back(self):
         made, _, _ = world(configured("outbound_post"), {"e0": "n"})
-        carrier = Carrier(made, Bounds(), {}, Tally(), mbps=0.01)
+        carrier = Carrier(made, Bounds(), Metrics(), Tally(), mbps=0.01)
         self.assertTrue(carrier.gate.enter(FIRST, None))  # the link is taken
         answer = carrier.carry(Request("GET", "/x/1", [], low={"host": "a"}, came=time.monotonic_ns()))
         self.assertEqual((answer.status, answer.headers), (503, [("Retry-After", "0.1")]))
