--- /dev/null
+++ b/tests/test_system_departures.py
@@ -0,0 +1,135 @@
+"""A request reaches no endpoint later than `last_call_ms` after its departure was acknowledged (issue 42).
+
+What the system knows of a departure may come late, twice or not at all: the bound is kept by clocks.
+"""
+
+import time
+import unittest
+
+import gevent
+import msgspec
+from gevent import socket
+
+from flintreach.proxy.carry import Carrier, Request
+from flintreach.proxy.choice import Here
+from flintreach.proxy.metrics import Metrics
+from flintreach.proxy.view import RoutingView
+from flintreach.trail.board import Board
+from flintreach.trail.tally import Tally
+from flintreach.waymark.settings import Bounds
+
+MS, SECOND = 1_000_000, 1_000_000_000
+LAST_CALL_MS = 2500
+
+
+def configuration(sharded=False):
+    dispatch = {"line": "desk", "deadline_ms": 60_000, "tries": 1, "home_regions": []}
+    route = {"name": "r", "kind": "unsafe", "target_ms": 400, "sorting": {"postcode": "/x/"}}
+    return msgspec.json.encode(
+        {
+            "edition": "00000001",
+            "wickets": [{"destination": "a", "regulations": [{**route, "dispatch": dispatch}]}],
+            "depots": [{"name": "desk", "sharded": sharded, "checkup": "/health"}],
+        }
+    )
+
+
+class Fixture:
+    """A routing view that is told by news, on a clock of its own; endpoint "e" is ready."""
+
+    def __init__(self, sharded=False, addr="10.0.0.1:80", last_call_ms=LAST_CALL_MS):
+        self.now, self.confirmed, self.seq = 100 * SECOND, 100 * SECOND, 0
+        self.board, self.addr = Board(), addr
+        self.view = RoutingView(
+            self.board,
+            Here("n", "r"),
+            {"n": "r"},
+            lambda: self.now,
+            Bounds(last_call_ms=last_call_ms),
+            lambda: self.confirmed,
+            Metrics(),
+        )
+        self.board.offer("timetable", 1, configuration(sharded))
+        self.tell("ready")
+
+    def tell(self, state):
+        self.seq += 1
+        fields = {"line": "desk", "addr": self.addr, "zone": "n", "berths": 2, "state": state, "cold": 0}
+        self.board.offer("hut/e", [0, self.seq, 0], fields)
+
+    def later(self, ms, confirmed=True):
+        """Time passes; the view is confirmed all the while, or not at all."""
+        self.now += int(ms * MS)
+        self.confirmed = self.now if confirmed else self.confirmed
+
+    def takes(self):
+        endpoint = self.view.endpoints.get("e")
+        return endpoint is not None and self.view.takes(endpoint)
+
+
+class Views(unittest.TestCase):
+    def test_a_view_that_nobody_confirms_sends_nothing_once_a_departure_may_be_due(self):
+        fixture = Fixture()
+        self.assertTrue(fixture.takes())
+        fixture.later(LAST_CALL_MS, confirmed=False)
+        self.assertFalse(fixture.takes(), "its departure may have been acknowledged a whole bound ago")
+
+    def test_the_time_since_a_departure_does_not_begin_anew(self):
+        """A holder of keys that leaves falls silent, is judged lost, and is heard of again."""
+        fixture = Fixture(sharded=True)
+        fixture.tell("closing")
+        self.assertTrue(fixture.takes())
+        fixture.later(LAST_CALL_MS)
+        self.assertFalse(fixture.takes())
+        fixture.tell("gone")
+        fixture.tell("closing")
+        self.assertFalse(fixture.takes(), "its departure was acknowledged a whole bound ago")
+
+
+class Slow:
+    """An endpoint behind a link that hardly moves: some kilobytes a second arrive there."""
+
+    def __init__(self):
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(1)
+        self.addr = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.size, self.last_at, self.reset = 0, 0, False
+
+    def read(self):
+        """Read until the end, and note when the last byte came."""
+        sock, _ = self.listener.accept()
+        try:
+            while data := sock.recv(1024):
+                self.size, self.last_at = self.size + len(data), time.monotonic_ns()
+                gevent.sleep(0.02)
+        except ConnectionResetError:
+            self.reset = True
+
+
+class Bytes(unittest.TestCase):
+    def test_what_the_kernel_still_holds_is_taken_back_when_the_bound_is_near(self):
+        """The endpoint leaves while a request to it is on its way over a link that hardly moves."""
+        slow = Slow()
+        fixture = Fixture(addr=slow.addr, last_call_ms=1000)
+        fixture.view.clock = time.monotonic_ns
+        fixture.confirmed = time.monotonic_ns()
+        carrier = Carrier(fixture.view, Bounds(last_call_ms=1000), Metrics(), Tally())
+        request = Request(
+            "POST", "/x/1", [], bytes(8 << 20), time.monotonic_ns(), {"host": "a", "x-try-id": "1"}
+        )
+        until = time.monotonic_ns() + 4 * SECOND
+        reading = gevent.spawn(slow.read)
+        gevent.spawn(carrier.attempt, request, "desk", fixture.view.endpoints["e"], until)
+        gevent.sleep(0.2)
+        left = fixture.confirmed = time.monotonic_ns()
+        fixture.tell("closing")
+        reading.join(timeout=10)
+        self.assertLess((slow.last_at - left) / SECOND, 1.0, "bytes arrived after the bound")
+        self.assertTrue(slow.reset, "the kernel would have sent the rest")
+        self.assertLess(slow.size, len(request.body))
+
+
+if __name__ == "__main__":
+    unittest.main()
