--- a/flintreach/proxy/carry.py
+++ b/flintreach/proxy/carry.py
@@ -20,9 +20,11 @@
     idle_for,
     patience,
 )
-from flintreach.proxy.connection import ANSWERED, BROKEN, IDLE, NOT_RUN, UNSENT, Outcome, exchange
+from flintreach.proxy.connection import IDLE
+from flintreach.proxy.exchange import ANSWERED, BROKEN, NOT_RUN, UNSENT, Outcome, exchange
 from flintreach.proxy.gate import WAIT, Gate
 from flintreach.proxy.metrics import SEND_TIME, VIEW_AGE, Metrics
+from flintreach.proxy.presence import Presence, stays
 from flintreach.proxy.reply import number
 from flintreach.proxy.view import RoutingView, slice_of
 from flintreach.trail.tally import Tally
@@ -96,6 +98,7 @@
 class Carrier:
     def __init__(self, view: RoutingView, bounds, metrics: Metrics, tally: Tally, mbps: float = 0.0):
         self.view, self.bounds, self.metrics, self.tally = view, bounds, metrics, tally
+        self.presence = Presence(view, metrics)
         self.budgets: dict[str, Budget] = {}
         self.gate = Gate(mbps)
         self.work: dict[str, int] = {}  # service -> how long its requests take, smoothed
@@ -223,6 +226,10 @@
 
     def attempt(self, request, service, endpoint, until) -> Outcome:
         """One request to one endpoint, and what it tells of it."""
+        if not self.presence.confirmed(endpoint, until):
+            self.metrics.count("unconfirmed")
+            endpoint.fails(time.monotonic_ns(), self.view.sharded(service))
+            return Outcome(UNSENT)
         now = time.monotonic_ns()
         if endpoint.cold_until > now:
             endpoint.sent_cold = now
@@ -246,7 +253,10 @@
                 lambda: self.view.takes(endpoint),
                 request.connections,
                 lambda: self.went_out(endpoint, now),
+                lambda: self.view.arrive_by(endpoint),
             )
+            if outcome.kind == ANSWERED and stays(outcome.message):
+                endpoint.present_at = max(endpoint.present_at, now)
             return outcome
         finally:
             after = time.monotonic_ns()
@@ -307,6 +317,9 @@
                 endpoint.shun_until = max(endpoint.shun_until, now + 300 * MS)
             else:
                 endpoint.shun_until = max(endpoint.shun_until, now + 50 * MS)
+        elif outcome.recalled:
+            self.metrics.count("recalled")
+            endpoint.fails(now, self.view.sharded(service))
         elif outcome.full:
             endpoint.shun_until = max(endpoint.shun_until, now + FULL_FOR)
             self.metrics.count("full")
--- a/flintreach/proxy/choice.py
+++ b/flintreach/proxy/choice.py
@@ -19,7 +19,6 @@
 SHARE = 0.5  # of the slack of a budget that all pilots together may use up
 COLD_PART = 0.6  # of what the rules allow above a cold endpoint's rate: pilots that send there, one each
 USUAL, EARLY, LATEST = 3, 0.3, 0.6  # times of its usual work, and parts of its aim, after which one is slow
-LAST_CALL = 0.4  # of what the rules allow, how long keys are still used where they are about to leave
 KEY_WAIT = 0.15  # of a route's aim, to wait for keys that are between two holders
 SECOND_SHARE = 0.5  # of a budget, that may go to second tries beside a first that is silent
 
@@ -35,7 +34,8 @@
     region: str
     berths: int
     state: str = "ready"
-    closing_at: int = 0  # when this process heard that it leaves
+    present_at: int = 0  # its own answer showed that it had not begun to leave by then
+    left_at: int | None = None  # the earliest moment at which its departure can have been acknowledged
     cold_until: int = 0
     mine: int = 0  # requests of ours that it works on
     told: float = 0.0  # others' requests there when it last told, and when that was
--- a/flintreach/proxy/connection.py
+++ b/flintreach/proxy/connection.py
@@ -1,37 +1,21 @@
-"""Connections to one endpoint, and one exchange on one of them.
+"""Connections to one endpoint: how they come up, lie idle, are used again and end."""
 
-An exchange tells what is known of whether the request has run, and no more: a request that was written may
-have run, whatever happened to its answer.
-"""
-
-import errno
+import fcntl
+import termios
 import time
-from collections.abc import Callable
+from array import array
 
-import gevent
 from gevent import socket
 
-from flintreach.proxy.reply import HTTPParseError, Message, Replies, number
+from flintreach.proxy.reply import number
 from flintreach.rope.link import RESET
 from flintreach.waymark.settings import place
 
-ANSWERED, UNSENT, NOT_RUN, BROKEN, TIMEOUT = "answered", "unsent", "not run", "broken", "timeout"
 IDLE = 4_000_000_000  # ns that a connection may lie idle when the endpoint tells nothing
 MUTE_MS = 1200  # without a sign from the machine's kernel for so long, a connection is dead
-REFUSED = (400, 408, 421, 429, 503)  # statuses with which X-Not-Delivered is believed
-SURPLUS, MOST = 8, 64 << 20  # whole messages that are not ours, and bytes, that are read for one answer
 LOOK_S = 0.003  # seconds for which a fresh connection is looked at: an endpoint that has too many resets it
 
 
-class Outcome:
-    """`dark`: its machine says nothing.  `full`: it takes no further connection at present."""
-
-    __slots__ = ("kind", "message", "dark", "full")
-
-    def __init__(self, kind, message=None, dark=False, full=False):
-        self.kind, self.message, self.dark, self.full = kind, message, dark, full
-
-
 class Connection:
     """One connection to an endpoint."""
 
@@ -52,6 +36,15 @@
         except OSError:
             return False
 
+    def unacknowledged(self) -> int:
+        """Bytes that the peer's machine has not acknowledged yet (SIOCOUTQ, see tcp(7)); 0 once it ended."""
+        waiting = array("i", [0])
+        try:
+            fcntl.ioctl(self.sock.fileno(), termios.TIOCOUTQ, waiting)
+        except (OSError, ValueError):
+            return 0
+        return waiting[0]
+
     def drop(self) -> None:
         """End it at once: what still waits to be sent must not arrive later."""
         try:
@@ -125,93 +118,3 @@
     except (OSError, TimeoutError):
         return False
     return True  # bytes before any request are no answer either
-
-
-def verdict(message: Message) -> str:
-    """What an answer to a request tells of it.
-
-    Only a refusal is a promise that it has not run: a busy status without one may come after the work, and
-    passed on it would be a promise of ours.  A success without its stamp, or in a coding that nobody asked
-    for, is not the endpoint's body.
-    """
-    status, coding = message.status, (message.get("content-encoding") or "identity").lower()
-    refusal = message.get("x-not-delivered") is not None
-    if status == 421 or refusal and status in REFUSED:
-        return NOT_RUN
-    if refusal or status in (408, 429, 503) or not 200 <= status <= 599:
-        return BROKEN
-    if status < 300 and message.get("x-postmark") is None:
-        return BROKEN
-    if coding != "identity" or (message.get("transfer-encoding") or "chunked").lower() != "chunked":
-        return BROKEN
-    return ANSWERED
-
-
-def exchange(
-    pool: ConnectionPool,
-    head: bytes,
-    body: bytes,
-    id: str,
-    until: int,
-    connect_s: float,
-    most: int = IDLE,
-    still=lambda: True,
-    used: list | None = None,
-    sent: Callable[[], None] = lambda: None,
-) -> Outcome:
-    """Send one request; `until`: steady nanoseconds at which nobody waits for the answer any more; `most`:
-    nanoseconds for which its connection may lie idle afterwards; `still()`: whether it may be sent there;
-    `used`: connections that this request went out on before, to which its own is added; `sent()`: called
-    when the kernel has taken all of it."""
-    # The id tells answers apart, so none goes twice on one connection, and one without an id goes alone.
-    used = [] if used is None else used
-    connection = pool.take(used) if id else None
-    if connection is None:
-        left = (until - time.monotonic_ns()) / 1e9
-        if left <= 0:
-            return Outcome(UNSENT)
-        try:
-            connection = pool.connect(min(connect_s, left))
-        except OSError as error:
-            return Outcome(UNSENT, dark=error.errno not in (errno.ECONNREFUSED, errno.ECONNRESET))
-        if turned_away(connection):
-            connection.drop()
-            return Outcome(UNSENT, full=True)
-    if not still():
-        # While the connection came up, news came: the endpoint leaves, or its zone is emptied.
-        connection.drop()
-        return Outcome(UNSENT)
-    used.append(connection)
-    replies, size, keep = Replies(head.startswith(b"HEAD ")), 0, False
-    try:
-        with gevent.Timeout(max(0.0, (until - time.monotonic_ns()) / 1e9)):
-            connection.sock.sendall(head + body)
-            sent()
-            while True:
-                data = connection.sock.recv(65536)
-                if not data:
-                    break
-                try:
-                    replies.feed(data)
-                except HTTPParseError:
-                    pass  # what was whole before the garbage counts
-                # An old answer may stand in the place of ours: the id tells.
-                found = next((message for message in replies.whole if message.answers(id)), None)
-                if found is not None:
-                    kind = verdict(found)
-                    lone = len(replies.whole) == 1 and not replies.surplus and not replies.parser_failed()
-                    keep = found.keep and lone and replies.framed and kind != BROKEN and id != ""
-                    return Outcome(kind, found)
-                size += len(data)
-                if replies.parser_failed() or len(replies.whole) > SURPLUS or size > MOST:
-                    break
-            return Outcome(BROKEN)
-    except gevent.Timeout:
-        return Outcome(TIMEOUT)
-    except OSError as error:
-        return Outcome(BROKEN, dark=error.errno in (errno.ETIMEDOUT, errno.EHOSTUNREACH))
-    finally:
-        if keep:
-            pool.put(connection, found, most)
-        else:
-            connection.drop()
--- /dev/null
+++ b/flintreach/proxy/exchange.py
@@ -0,0 +1,183 @@
+"""One exchange with an endpoint: a request goes out on a connection, its answer comes back.
+
+An exchange tells what is known of whether the request has run, and no more: a request that was written may
+have run, whatever happened to its answer.
+"""
+
+import errno
+import time
+from collections.abc import Callable
+
+import gevent
+
+from flintreach.proxy.connection import IDLE, Connection, ConnectionPool, turned_away
+from flintreach.proxy.reply import HTTPParseError, Message, Replies
+
+ANSWERED, UNSENT, NOT_RUN, BROKEN, TIMEOUT = "answered", "unsent", "not run", "broken", "timeout"
+REFUSED = (400, 408, 421, 429, 503)  # statuses with which X-Not-Delivered is believed
+SURPLUS, MOST = 8, 64 << 20  # whole messages that are not ours, and bytes, that are read for one answer
+READ_SIZE = 65536
+SECOND = 1_000_000_000
+NEVER = 1 << 62  # no bound, in nanoseconds of the steady clock
+
+
+class Outcome:
+    """What came of an exchange.
+
+    `dark`: its machine says nothing.  `full`: it takes no further connection at present.  `recalled`: its
+    bytes were taken back, since they would have arrived too late.
+    """
+
+    __slots__ = ("kind", "message", "dark", "full", "recalled")
+
+    def __init__(self, kind, message=None, dark=False, full=False, recalled=False):
+        self.kind, self.message, self.dark, self.full = kind, message, dark, full
+        self.recalled = recalled
+
+
+def verdict(message: Message) -> str:
+    """What an answer to a request tells of it.
+
+    Only a refusal is a promise that it has not run: a busy status without one may come after the work, and
+    passed on it would be a promise of ours.  A success without its stamp, or in a coding that nobody asked
+    for, is not the endpoint's body.
+    """
+    status, coding = message.status, (message.get("content-encoding") or "identity").lower()
+    refusal = message.get("x-not-delivered") is not None
+    if status == 421 or refusal and status in REFUSED:
+        return NOT_RUN
+    if refusal or status in (408, 429, 503) or not 200 <= status <= 599:
+        return BROKEN
+    if status < 300 and message.get("x-postmark") is None:
+        return BROKEN
+    if coding != "identity" or (message.get("transfer-encoding") or "chunked").lower() != "chunked":
+        return BROKEN
+    return ANSWERED
+
+
+class Exchange:
+    """A request on one connection, and what has come of it so far.  It goes on where a wait was ended.
+
+    `until`: nobody waits for the answer any more.  `arrive_by()`: bytes that have not arrived by then are
+    taken back; it may move on meanwhile.  Both are nanoseconds of the steady clock.
+    """
+
+    def __init__(self, connection: Connection, data: bytes, id: str, until: int, arrive_by, sent):
+        self.connection, self.id, self.until = connection, id, until
+        self.arrive_by, self.sent = arrive_by, sent
+        self.left = memoryview(data)
+        self.arrived = False  # all of the request, at the endpoint's machine
+        self.replies, self.size = Replies(data.startswith(b"HEAD ")), 0
+        self.reusable = False
+
+    def run(self) -> Outcome:
+        while True:
+            limit = self.until if self.arrived else min(self.until, self.arrive_by())
+            timer = gevent.Timeout(max(0, limit - time.monotonic_ns()) / SECOND)
+            try:
+                with timer:
+                    self.send()
+                    return self.receive()
+            except gevent.Timeout as ended:
+                if ended is not timer:
+                    raise
+                if (outcome := self.over()) is not None:
+                    return outcome
+            except OSError as error:
+                return Outcome(BROKEN, dark=error.errno in (errno.ETIMEDOUT, errno.EHOSTUNREACH))
+
+    def send(self) -> None:
+        if not self.left:
+            return
+        while self.left:
+            self.left = self.left[self.connection.sock.send(self.left) :]
+        self.sent()
+
+    def receive(self) -> Outcome:
+        while data := self.connection.sock.recv(READ_SIZE):
+            try:
+                self.replies.feed(data)
+            except HTTPParseError:
+                pass  # what was whole before the garbage counts
+            # An old answer may stand in the place of ours: the id tells.
+            found = next((message for message in self.replies.whole if message.answers(self.id)), None)
+            if found is not None:
+                return self.answered(found)
+            self.size += len(data)
+            if self.replies.parser_failed() or len(self.replies.whole) > SURPLUS or self.size > MOST:
+                break
+        return Outcome(BROKEN)
+
+    def answered(self, found: Message) -> Outcome:
+        kind, replies = verdict(found), self.replies
+        lone = len(replies.whole) == 1 and not replies.surplus and not replies.parser_failed()
+        self.reusable = found.keep and lone and replies.framed and kind != BROKEN and self.id != ""
+        return Outcome(kind, found)
+
+    def over(self) -> Outcome | None:
+        """What a limit that has passed means; None where the request may go on."""
+        now = time.monotonic_ns()
+        if now >= self.until:
+            return Outcome(TIMEOUT)
+        self.arrived = not self.left and not self.connection.unacknowledged()
+        if self.arrived or now < self.arrive_by():
+            return None
+        return Outcome(BROKEN, recalled=True)  # a part of it may have arrived: it may have run
+
+
+def connected(pool: ConnectionPool, connect_s: float, until: int) -> Connection | Outcome:
+    """A fresh connection to an endpoint, or why there is none: then nothing was sent."""
+    left = (until - time.monotonic_ns()) / SECOND
+    if left <= 0:
+        return Outcome(UNSENT)
+    try:
+        connection = pool.connect(min(connect_s, left))
+    except OSError as error:
+        return Outcome(UNSENT, dark=error.errno not in (errno.ECONNREFUSED, errno.ECONNRESET))
+    if turned_away(connection):
+        connection.drop()
+        return Outcome(UNSENT, full=True)
+    return connection
+
+
+def exchange(
+    pool: ConnectionPool,
+    head: bytes,
+    body: bytes,
+    id: str,
+    until: int,
+    connect_s: float,
+    most: int = IDLE,
+    still: Callable[[], bool] = lambda: True,
+    used: list | None = None,
+    sent: Callable[[], None] = lambda: None,
+    arrive_by: Callable[[], int] = lambda: NEVER,
+) -> Outcome:
+    """Send one request and read its answer.
+
+    `until`, `arrive_by`: see `Exchange`.  `connect_s`: seconds for a connection to come up; `most`:
+    nanoseconds for which it may lie idle afterwards.  `still()`: asked last, whether the request may go out;
+    `used`: connections that it went out on before, to which its own is added; `sent()`: called when the
+    kernel has taken all of it.
+    """
+    # The id tells answers apart, so none goes twice on one connection, and one without an id goes alone.
+    used = [] if used is None else used
+    connection = pool.take(used) if id else None
+    if connection is None:
+        connection = connected(pool, connect_s, until)
+        if isinstance(connection, Outcome):
+            return connection
+    if not still():
+        # Since it was chosen, news came or failed to come: its departure, its zone's, or a lease is over.
+        connection.drop()
+        return Outcome(UNSENT)
+    used.append(connection)
+    job = Exchange(connection, head + body, id, until, arrive_by, sent)
+    try:
+        outcome = job.run()
+        return outcome
+    finally:
+        if job.reusable:
+            pool.put(connection, outcome.message, most)
+        else:
+            connection.drop()
--- a/flintreach/proxy/metrics.py
+++ b/flintreach/proxy/metrics.py
@@ -10,6 +10,9 @@
 BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0)
 PREFIX = "flintreach_proxy_"
 
+# Counters that others read.
+VIOLATION = "sent after departure"  # must stay 0: a request went out when its endpoint's lease was over
+
 # Histograms, with what each of them tells.
 VIEW_AGE = "view_age_at_send_seconds"
 SEND_TIME = "send_seconds"
--- a/flintreach/proxy/view.py
+++ b/flintreach/proxy/view.py
@@ -6,9 +6,10 @@
 
 import msgspec
 
-from flintreach.proxy.choice import LAST_CALL, Endpoint, Here, divide
+from flintreach.proxy.choice import Endpoint, Here, divide
 from flintreach.proxy.connection import ConnectionPool
-from flintreach.proxy.metrics import LATE_SEND, Metrics
+from flintreach.proxy.lease import UNKNOWN, LeaseTerms
+from flintreach.proxy.metrics import LATE_SEND, VIOLATION, Metrics
 from flintreach.trail.board import Board
 from flintreach.waymark.timetable import Routes, Timetable
 
@@ -39,13 +40,13 @@
     ):
         self.here, self.zones, self.clock = here, zones, clock
         self.confirmed_at, self.metrics = confirmed_at or clock, metrics or Metrics()
-        # A holder that leaves serves its keys until they have moved, well within what the rules allow.
-        self.last_call = int(LAST_CALL * bounds.last_call_ms * MS)
-        self.last_stay = int(LAST_CALL * bounds.evacuate_ms * MS)
+        self.departure = LeaseTerms.of(bounds.last_call_ms)
+        self.evacuation = LeaseTerms.of(bounds.evacuate_ms)
         self.routes: Routes | None = None
         self.endpoints: dict[str, Endpoint] = {}
         self.services: dict[str, dict[str, Endpoint]] = {}
-        self.away: dict[str, int] = {}  # zones to which nothing more goes, and since when that is known
+        self.departed: dict[str, int] = {}  # id -> `Endpoint.left_at`, as long as news of that id are held
+        self.away: dict[str, int] = {}  # evacuated zones -> the earliest moment of the acknowledgement
         self.divided: tuple[int, int] | None = None  # the places by which endpoints were divided last
         self.tables: dict[str, frozenset[str]] = {}  # slice -> endpoints
         self.keys: dict[str, tuple[list[int], list[tuple[int, str]]]] = {}
@@ -59,7 +60,7 @@
         elif kind == "timetable":
             self.routes = Routes(msgspec.json.decode(value, type=Timetable))
         elif kind == "evac":
-            away = {zone: self.away.get(zone, self.clock()) for zone, on in value.items() if on}
+            away = {zone: self.away.get(zone, self.confirmed_at()) for zone, on in value.items() if on}
             # Its endpoints may have turned cold while they were empty, and their beats tell it late.
             for endpoint in self.endpoints.values():
                 if endpoint.zone in self.away and endpoint.zone not in away:
@@ -82,41 +83,60 @@
         return int((depot.cold_s if depot else 0) * SECOND)
 
     def on_endpoint(self, id: str, told: dict | None) -> None:
+        """News of an endpoint; None: all that was held of it is forgotten."""
         held = self.endpoints.get(id)
-        if held is not None and held.state != "closing" and told and told["state"] in ("closing", "gone"):
-            self.departs(held)
+        if told is None:
+            self.departed.pop(id, None)
+        elif told["state"] in ("closing", "gone"):
+            self.departs(id, held)
+        else:
+            self.departed.pop(id, None)  # it was only silent
         if told is None or told["state"] == "gone":
             if held is not None:
-                del self.endpoints[id]
-                group = self.services[held.service]
-                del group[id]
-                if not group:
-                    del self.services[held.service]
-                held.state = "gone"
-                held.pool.close()
-                self.divided = None
+                self.remove(held)
             return
         if held is None:
-            held = self.endpoints[id] = Endpoint(
-                id,
-                told["line"],
-                told["addr"],
-                told["zone"],
-                self.zones.get(told["zone"], ""),
-                max(1, told["berths"]),
-                pool=ConnectionPool(told["addr"]),
-            )
-            self.services.setdefault(told["line"], {})[id] = held
-            self.divided = None
-        if told["state"] == "closing" and held.state != "closing":
-            held.closing_at = self.clock()
+            held = self.add(id, told)
         held.state = told["state"]
+        held.left_at = self.departed.get(id)
         cold = self.clock() + told["cold"] * MS if told["cold"] else 0
         held.cold_until = max(held.cold_until, cold) if cold else held.cold_until
 
-    def departs(self, endpoint: Endpoint) -> None:
-        """Its departure was acknowledged after `confirmed_at`: how long after that did a request go out?"""
-        self.metrics.observe(LATE_SEND, max(0, endpoint.went_out_at - self.confirmed_at()))
+    def departs(self, id: str, held: Endpoint | None) -> None:
+        """Note when the departure can have been acknowledged at the earliest: not before the last moment at
+        which the endpoint was surely present.  The first note stands, whatever is heard again later."""
+        if id in self.departed:
+            return
+        left_at = UNKNOWN if held is None else self.present_at(held)
+        self.departed[id] = left_at
+        if held is None:
+            return
+        held.left_at = left_at
+        late = held.went_out_at - left_at
+        self.metrics.observe(LATE_SEND, max(0, late))
+        if late > self.departure.arrive_for:
+            self.metrics.count(VIOLATION)
+
+    def add(self, id: str, told: dict) -> Endpoint:
+        region = self.zones.get(told["zone"], "")
+        pool = ConnectionPool(told["addr"])
+        held = Endpoint(
+            id, told["line"], told["addr"], told["zone"], region, max(1, told["berths"]), pool=pool
+        )
+        self.endpoints[id] = held
+        self.services.setdefault(told["line"], {})[id] = held
+        self.divided = None
+        return held
+
+    def remove(self, held: Endpoint) -> None:
+        del self.endpoints[held.id]
+        group = self.services[held.service]
+        del group[held.id]
+        if not group:
+            del self.services[held.service]
+        held.state = "gone"
+        held.pool.close()
+        self.divided = None
 
     def holder(self, service: str, key: int) -> str | None:
         lows, rows = self.keys.get(service, ([], []))
@@ -129,17 +149,41 @@
         depot = self.routes.depots.get(service)
         return depot is not None and depot.sharded
 
-    def stays(self, endpoint: Endpoint) -> bool:
-        now = self.clock()
-        return (
-            endpoint.state != "closing" or now - endpoint.closing_at < self.last_call
-        ) and now - self.away.get(endpoint.zone, now) < self.last_stay
+    def present_at(self, endpoint: Endpoint) -> int:
+        """A moment by which no departure of an endpoint had been acknowledged."""
+        if endpoint.left_at is not None:
+            return endpoint.left_at
+        return max(self.confirmed_at(), endpoint.present_at)
+
+    def leased(self, endpoint: Endpoint, now: int) -> bool:
+        """Whether a request that goes out now still arrives within the bound on departures."""
+        return now < self.present_at(endpoint) + self.departure.send_for
+
+    def arrive_by(self, endpoint: Endpoint) -> int:
+        """The moment after which no byte of a request may arrive; it moves on with what confirms it."""
+        limit = self.present_at(endpoint) + self.departure.arrive_for
+        if endpoint.zone in self.away:
+            limit = min(limit, self.away[endpoint.zone] + self.evacuation.arrive_for)
+        return limit
+
+    def open(self, endpoint: Endpoint, now: int) -> bool:
+        """Whether requests may go there by what is known: the rules on leaving and on evacuations.
+
+        The holder of keys is used while it leaves, until they have moved or its lease is over.
+        """
+        if endpoint.state == "gone":
+            return False
+        evacuated = self.away.get(endpoint.zone)
+        if not self.sharded(endpoint.service):
+            return endpoint.state != "closing" and evacuated is None
+        if endpoint.left_at is not None and not self.leased(endpoint, now):
+            return False
+        return evacuated is None or now < evacuated + self.evacuation.send_for
 
     def takes(self, endpoint: Endpoint) -> bool:
-        """Whether anything may go to an endpoint at all: the rules on leaving and on evacuations."""
-        if self.sharded(endpoint.service):
-            return endpoint.state != "gone" and self.stays(endpoint)
-        return endpoint.state not in ("closing", "gone") and endpoint.zone not in self.away
+        """Whether a request may go out to an endpoint now."""
+        now = self.clock()
+        return self.open(endpoint, now) and self.leased(endpoint, now)
 
     def able(self, route, service: str, key: int | None, tried: set[str]) -> list[Endpoint]:
         """Endpoints that may serve a try: the rules bind first, then what is well."""
@@ -151,11 +195,15 @@
             found = [endpoint] if endpoint is not None else []
         else:
             found = self.services.get(service, {}).values()
-        homes = route.homes
+        homes, now = route.homes, self.clock()
         found = [
             endpoint
             for endpoint in found
-            if self.takes(endpoint) and endpoint.id not in tried and (not homes or endpoint.region in homes)
+            if endpoint.id not in tried
+            and (not homes or endpoint.region in homes)
+            and self.open(endpoint, now)
         ]
-        now = self.clock()
+        if now >= self.confirmed_at() + self.departure.send_for:
+            # Only their own answers tell that endpoints are still there; without any they must be asked.
+            found = [endpoint for endpoint in found if self.leased(endpoint, now)] or found
         return [endpoint for endpoint in found if endpoint.there(now)] or found
--- a/flintreach/standins/adversary.py
+++ b/flintreach/standins/adversary.py
@@ -16,6 +16,7 @@
 from gevent.server import StreamServer
 
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close that resets
+HEALTH = "/health"  # the path of health questions, which no script answers
 REFUSALS = {
     "400": "400 Bad Request",
     "408": "408 Request Timeout",
@@ -77,7 +78,8 @@
 
 
 class Adversary:
-    """`ran`: id of a try -> how often it was run here; `portion`: bytes that are written at once."""
+    """`ran`: id of a try -> how often it was run here; `portion`: bytes that are written at once; `well`:
+    what it says to health questions."""
 
     def __init__(self, id: str = "e0", address: tuple[str, int] = ("127.0.0.1", 0)):
         self.id, self.lines, self.opened = id, set(), 0
@@ -98,7 +100,7 @@
         for line in [*self.lines]:
             line.sock.close()
         self.script, self.ran, self.came = deque(), Counter(), []
-        self.portion, self.last = 1 << 20, b""
+        self.portion, self.last, self.well = 1 << 20, b"", True
 
     def serve(self, sock, address) -> None:
         line = Line(sock)
@@ -106,6 +108,9 @@
         self.opened += 1
         try:
             while (asked := line.read()) is not None:
+                if asked.target == HEALTH and not asked.id:
+                    self.write(line, self.health(asked))
+                    continue
                 self.came.append(asked)
                 act = self.script.popleft() if self.script else "answer"
                 owed, line.owed = line.owed, b""
@@ -152,6 +157,11 @@
         self.last = self.last or data
         return data
 
+    def health(self, asked: Asked) -> bytes:
+        status = "200 OK" if self.well else "503 Service Unavailable"
+        told = f"X-Endpoint-Id: {self.id}"
+        return self.reply(asked, status, told, id=None, body=b"", stamp=False)
+
     def refusal(self, asked: Asked, status: str) -> bytes:
         return self.reply(asked, REFUSALS[status], "X-Not-Delivered: 1", body=b"no", stamp=False)
 
--- a/tests/test_system_answers.py
+++ b/tests/test_system_answers.py
@@ -554,7 +554,7 @@
         for act, most in (("many others", 1 << 20), ("never whole", 100)):
             stage.renew([[act], [act]])
             sent = stage.request("book")
-            with mock.patch("flintreach.proxy.connection.MOST", most):
+            with mock.patch("flintreach.proxy.exchange.MOST", most):
                 self.assertEqual(self.one(sent).status, 502, act)  # not 504: it was not waited for
             stage.settle()
 
--- a/tests/test_system_carrying.py
+++ b/tests/test_system_carrying.py
@@ -14,16 +14,8 @@
 from flintreach.lookout.roster import Member
 from flintreach.proxy.carry import Carrier, Request
 from flintreach.proxy.choice import SECOND, Here
-from flintreach.proxy.connection import (
-    ANSWERED,
-    BROKEN,
-    NOT_RUN,
-    TIMEOUT,
-    UNSENT,
-    Connection,
-    Outcome,
-    exchange,
-)
+from flintreach.proxy.connection import Connection
+from flintreach.proxy.exchange import ANSWERED, BROKEN, NOT_RUN, TIMEOUT, UNSENT, Outcome, exchange
 from flintreach.proxy.gate import FIRST, Gate
 from flintreach.proxy.metrics import Metrics
 from flintreach.proxy.reply import Message
@@ -255,17 +247,17 @@
         self.assertEqual([self.able(made, key) for key in (0, 99, 100, 65535)], [["a"], ["a"], ["b"], ["b"]])
         board.offer("evac", 1, {"n": True})
         self.assertEqual(self.able(made, 5), ["a"])
-        clock.now += made.last_stay
+        clock.now += made.evacuation.send_for
         self.assertEqual(self.able(made, 5), [])
         board.offer("bunks/desk", [1, 2], [[0, 65535, "b", "held"]])
         self.assertEqual(self.able(made, 5), ["b"])
         board.offer("hut/b", [2, 0], told("s", 1, "closing"))
         self.assertEqual(self.able(made, 5), ["b"])
-        clock.now += made.last_call
+        clock.now += made.departure.send_for
         self.assertEqual(self.able(made, 5), [])
         bounds = Bounds()
-        self.assertLess(made.last_call, bounds.last_call_ms * 1e6)
-        self.assertLess(made.last_stay, bounds.evacuate_ms * 1e6)
+        self.assertLess(made.departure.send_for, bounds.last_call_ms * 1e6)
+        self.assertLess(made.evacuation.send_for, bounds.evacuate_ms * 1e6)
 
     def test_an_evacuated_zone_comes_back_cold(self):
         config = configured().replace(b'"sharded":false', b'"sharded":false,"cold_s":3')
--- a/tests/test_system_departures.py
+++ b/tests/test_system_departures.py
@@ -14,6 +14,7 @@
 from flintreach.proxy.choice import Here
 from flintreach.proxy.metrics import Metrics
 from flintreach.proxy.view import RoutingView
+from flintreach.standins.adversary import Adversary
 from flintreach.trail.board import Board
 from flintreach.trail.tally import Tally
 from flintreach.waymark.settings import Bounds
@@ -86,6 +87,57 @@
         self.assertFalse(fixture.takes(), "its departure was acknowledged a whole bound ago")
 
 
+class Own(unittest.TestCase):
+    """An endpoint's own word renews its lease while no news come."""
+
+    def setUp(self):
+        self.endpoint = Adversary("e")
+        self.addCleanup(self.endpoint.stop)
+        self.fixture = Fixture(addr=self.endpoint.addr, last_call_ms=600_000)
+        self.fixture.now = self.fixture.confirmed = time.monotonic_ns()
+        self.fixture.view.clock = time.monotonic_ns
+        self.held = self.fixture.view.endpoints["e"]
+        self.metrics = Metrics()
+        bounds = Bounds(last_call_ms=600_000)
+        self.carrier = Carrier(self.fixture.view, bounds, self.metrics, Tally())
+
+    def carry(self, id):
+        low = {"host": "a", "x-try-id": id}
+        return self.carrier.carry(Request("POST", "/x/1", [("X-Try-Id", id)], b"", time.monotonic_ns(), low))
+
+    def lapse(self):
+        """Nothing has confirmed anything for longer than a bound."""
+        self.fixture.confirmed = time.monotonic_ns() - 601 * SECOND
+        self.held.present_at = 0
+
+    def test_an_answer_renews_the_lease_and_one_that_announces_its_end_does_not(self):
+        for act, renews in (("answer", True), ("close told", False)):
+            self.held.present_at = 0
+            self.fixture.confirmed = time.monotonic_ns()
+            self.endpoint.script.append(act)
+            self.assertEqual(self.carry(f"id-{act}").status, 200)
+            self.assertEqual(self.held.present_at > 0, renews, act)
+
+    def test_one_whose_lease_is_over_is_asked_before_it_is_used(self):
+        self.lapse()
+        self.assertEqual(self.carry("1").status, 200)
+        self.assertEqual(self.metrics.counts["asked for presence"], 1)
+        self.assertEqual(self.carry("2").status, 200)
+        self.assertEqual(self.metrics.counts["asked for presence"], 1)
+
+    def test_one_that_says_that_it_leaves_gets_nothing(self):
+        self.lapse()
+        self.endpoint.well = False
+        self.assertEqual(self.carry("3").status, 503)
+        self.assertFalse(self.endpoint.ran)
+
+    def test_many_that_wait_for_one_endpoint_ask_once(self):
+        self.lapse()
+        jobs = [gevent.spawn(self.carry, f"m{number}") for number in range(5)]
+        self.assertEqual({job.get(timeout=10).status for job in jobs}, {200})
+        self.assertEqual(self.metrics.counts["asked for presence"], 1)
+
+
 class Slow:
     """An endpoint behind a link that hardly moves: some kilobytes a second arrive there."""
 
--- a/tests/test_system_parts.py
+++ b/tests/test_system_parts.py
@@ -44,7 +44,8 @@
     may_warm,
     patience,
 )
-from flintreach.proxy.connection import UNSENT, Connection, ConnectionPool, exchange
+from flintreach.proxy.connection import Connection, ConnectionPool
+from flintreach.proxy.exchange import UNSENT, exchange
 from flintreach.proxy.reply import HTTPParseError, Replies
 from flintreach.ridge.place import Place, Ridge
 from flintreach.rope.host import Host
