--- a/flintreach/standins/camp.py
+++ b/flintreach/standins/camp.py
@@ -67,12 +67,15 @@
     folder: str
     process: subprocess.Popen | None = None
     posts: dict[str, str] = field(default_factory=dict)
+    module: str = "flintreach"  # what is run, with the role as its argument
+    environ: dict[str, str] = field(default_factory=dict)
 
     def start(self) -> None:
-        environ = {**os.environ, "FLINTREACH_NODE_FILE": os.path.join(self.folder, "node.yaml")}
+        settings = {"FLINTREACH_NODE_FILE": os.path.join(self.folder, "node.yaml")}
+        environ = {**os.environ, **settings, **self.environ}
         with open(os.path.join(self.folder, "log"), "ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "flintreach", self.role], env=environ, stdout=log, stderr=log
+                [sys.executable, "-m", self.module, self.role], env=environ, stdout=log, stderr=log
             )
 
     def end(self, how=signal.SIGKILL) -> None:
--- a/flintreach/standins/endpoint.py
+++ b/flintreach/standins/endpoint.py
@@ -31,6 +31,9 @@
         client.close()
 
 
+LOST = "flintreach.lost"  # in the environ: whether the answer is to be lost
+
+
 class Held:
     """Keys that an endpoint holds: ranges by fence, each until a moment of the steady clock."""
 
@@ -62,8 +65,22 @@
         return any(low <= key <= high and now < until for low, high, _, until in self.ranges)
 
 
+class LosingHandler(pywsgi.WSGIHandler):
+    """Ends the connection in place of an answer that is to be lost."""
+
+    def _sendall(self, data):
+        if self.environ is not None and self.environ.get(LOST):
+            self.close_connection = True
+            return
+        super()._sendall(data)
+
+
 class Endpoint:
-    """One life of an endpoint.  `control()`: addresses (ip, port) to which it may beat."""
+    """One life of an endpoint.  `control()`: addresses (ip, port) to which it may beat.
+
+    `arrived`: (steady ns, id of a try) of each request that it was meant to get; `departed_at`: when its
+    departure was first acknowledged; `lose_answer()`, `lose_ack()`: whether the next one is lost.
+    """
 
     def __init__(
         self,
@@ -86,7 +103,12 @@
         self.places = BoundedSemaphore(berths)
         self.ran: dict[str, int] = {}  # id of a try -> how often it was run here
         self.refused = 0
-        self.server = pywsgi.WSGIServer(address, self.answer, log=None, error_log=None)
+        self.arrived: list[tuple[int, str]] = []
+        self.departed_at: int | None = None
+        self.lose_answer = self.lose_ack = lambda: False
+        self.server = pywsgi.WSGIServer(
+            address, self.answer, log=None, error_log=None, handler_class=LosingHandler
+        )
         self.beats = None
 
     def start(self) -> None:
@@ -115,6 +137,8 @@
         headers += [("X-Endpoint-Load", load), ("Content-Length", str(len(body))), *more]
         if id := environ.get("HTTP_X_TRY_ID"):
             headers.append(("X-Try-Id", id))
+        if self.state != "ready":
+            headers.append(("Connection", "close"))
         start(status, headers)
         return [body]
 
@@ -138,6 +162,7 @@
             return refused("421 Misdirected Request")
         if self.sharded and not (key.isdigit() and self.held.holds(int(key), time.monotonic())):
             return refused("421 Misdirected Request")
+        self.arrived.append((time.monotonic_ns(), environ.get("HTTP_X_TRY_ID", "")))
         if self.waiting >= self.queue:
             return refused("503 Service Unavailable")
         self.waiting += 1
@@ -150,13 +175,22 @@
                 gevent.sleep(self.work_s)
             finally:
                 self.running -= 1
+        environ[LOST] = self.lose_answer()
         body = f"{self.line} at {self.id} did {environ['REQUEST_METHOD']} {environ['PATH_INFO']}\n".encode()
         return "200 OK", [("X-Postmark", f"{self.id}.{self.ran[id]}"), ("Content-Type", "text/plain")], body
 
     # What it says of itself.
 
     def tell(self, path: str, body: bytes) -> bool:
-        return any(told(ip, port, path, body) for ip, port in self.control())
+        """Whether an acknowledgement came; its departure counts from one that was lost, too."""
+        for ip, port in self.control():
+            if not told(ip, port, path, body):
+                continue
+            if self.state != "ready" and self.departed_at is None:
+                self.departed_at = time.monotonic_ns()
+            if not self.lose_ack():
+                return True
+        return False
 
     def beat(self) -> bool:
         cold = max(0, int((self.cold_until - time.monotonic()) * 1000))
@@ -181,12 +215,19 @@
             self.beat()
             gevent.sleep(self.report_s)
 
-    def leave(self) -> None:
-        """A planned end: told, served out, signed off."""
+    def leave(self) -> bool:
+        """Announce a planned end; whether it was acknowledged."""
         self.state = "closing"
-        self.beat()
+        return self.beat()
+
+    def announce_end(self) -> bool:
+        """Sign off, and serve on; whether it was acknowledged."""
+        self.state = "gone"
+        if self.beats is not None:
+            self.beats.kill(block=False)
+        return self.tell(f"/v1/endpoints/{self.id}/sign-off", b"")
 
     def sign_off(self) -> bool:
-        told = self.tell(f"/v1/endpoints/{self.id}/sign-off", b"")
+        told = self.announce_end()
         self.stop()
         return told
