--- a/tests/test_system_soak.py
+++ b/tests/test_system_soak.py
@@ -1,4 +1,4 @@
-"""The short form of the soak: one seed of overlapping troubles on real processes, judged by all invariants."""
+"""The short form of the soak: one seed of overlapping troubles on real processes, all invariants judged."""
 
 import os
 import unittest
