--- a/flintreach/proxy/exchange.py
+++ b/flintreach/proxy/exchange.py
@@ -66,7 +66,7 @@
         self.connection, self.id, self.until = connection, id, until
         self.arrive_by, self.sent = arrive_by, sent
         self.left = memoryview(data)
-        self.arrived = False  # all of the request, at the endpoint's machine
+        self.begun, self.arrived = False, False  # bytes went out; all of them are at the endpoint's machine
         self.replies, self.size = Replies(data.startswith(b"HEAD ")), 0
         self.reusable = False
 
@@ -91,6 +91,7 @@
             return
         while self.left:
             self.left = self.left[self.connection.sock.send(self.left) :]
+            self.begun = True
         self.sent()
 
     def receive(self) -> Outcome:
@@ -122,7 +123,8 @@
         self.arrived = not self.left and not self.connection.unacknowledged()
         if self.arrived or now < self.arrive_by():
             return None
-        return Outcome(BROKEN, recalled=True)  # a part of it may have arrived: it may have run
+        # A part of it may have arrived: then it may have run.
+        return Outcome(BROKEN if self.begun else UNSENT, recalled=True)
 
 
 def connected(pool: ConnectionPool, connect_s: float, until: int) -> Connection | Outcome:
--- a/flintreach/standins/camp.py
+++ b/flintreach/standins/camp.py
@@ -18,6 +18,7 @@
 import gevent.event
 import yaml
 from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
 
 from flintreach.standins.endpoint import Endpoint, told
 
@@ -193,7 +194,7 @@
             answer = client.request(method, target, body, {**sent, **(headers or {})})
             data = bytes(answer.read())
             return answer.status_code, data, {name.lower(): value for name, value in answer.items()}
-        except OSError:
+        except (OSError, HTTPParseError):  # also a connection that ends without an answer
             return None
         finally:
             client.close()
