--- a/flintreach/standins/simulated_plants.py
+++ b/flintreach/standins/simulated_plants.py
@@ -149,6 +149,11 @@
     return lambda self, *args: None
 
 
+def always_fresh(news_age):
+    """A refuge tells its news as fresh once it serves, in contact with a quorum or not."""
+    return lambda self: min(news_age(self), 0.0) if self.serving else news_age(self)
+
+
 def settles_at_once(first):
     return lambda disks, losses, calm_s: first(disks, Losses(), calm_s)
 
@@ -197,6 +202,13 @@
         ("monotonic",),
         "news of an older configuration take the place of newer ones",
     ),
+    "fresh-without-contact": Plant(
+        f"{REFUGE}.plane:ControlPlane",
+        "news_age",
+        always_fresh,
+        ("confirmed",),
+        "a refuge that is cut off confirms what it holds",
+    ),
     "forgets-holds": Plant(
         "flintreach.bunks.keeping:Keeping",
         "stands",
--- a/flintreach/standins/simulated_watch.py
+++ b/flintreach/standins/simulated_watch.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from flintreach.hutbook.book import CLOSING, GONE, READY
+from flintreach.refuge.contact import NEVER
 from flintreach.standins.simulated import MS, SECOND, Broken
 
 INVARIANTS = {
@@ -21,6 +22,7 @@
     "durable": "an acknowledged configuration is on the disks of a quorum of the voters in force",
     "known": "an acknowledged first check-in, closing or sign-off is on the disks of a quorum of the voters",
     "drain": "last_call_ms after an acknowledged closing or sign-off, nobody in touch tells it as ready",
+    "confirmed": "who counts a moment as confirmed holds what was acknowledged before it",
     "ended": "two check-ins in a row of a live endpoint are not acknowledged by refuges that tell it as gone",
     "stale": "a refuge without contact to the others for three seconds answers no directions",
     "monotonic": "what a process holds of the news never goes back within its life",
@@ -261,6 +263,8 @@
             if self.meets(refuge) or refuge not in self.met:
                 self.met[refuge] = now
             self.epoch(refuge.plane.register.voters)
+        for process in self.processes():
+            self.confirmed(process)
         if self.calm(now):
             for process in self.processes():
                 if now - process.began_at > 5 * SECOND and (
@@ -268,6 +272,30 @@
                 ):
                     self.in_touch(process)
 
+    def confirmed(self, process) -> None:
+        """Leases of proxies are counted from the moment that a process takes as confirmed."""
+        plane = getattr(process, "plane", process)
+        age, board = plane.relay.age(), plane.board
+        if age >= NEVER:
+            return
+        # Clocks of processes may run a few percent apart.
+        at = self.sim.now - int(1.05 * age * SECOND) - 20 * MS
+        for id, acknowledged in self.leaving.items():
+            told = board.get(f"hut/{id}")
+            if acknowledged < at and told and told["state"] not in (CLOSING, GONE):
+                self.broke("confirmed", f"{process.name}: {id} is {told['state']} at {clock(at)}")
+        zones = board.get("evac") or {}
+        for zone, on in self.settled_zones(at).items():
+            if bool(zones.get(zone)) != on:
+                self.broke("confirmed", f"{process.name}: {zone} {'is not' if on else 'is still'} evacuated")
+        version = board.parcels.get("timetable", (-1,))[0]
+        newest = max((number for number, puts in self.puts.items() if self.stood(puts, at)), default=-1)
+        if version < newest:
+            self.broke("confirmed", f"{process.name}: configuration {version} and not {newest}")
+
+    def stood(self, puts: dict, at: int) -> bool:
+        return any(put.acked is not None and put.acked < at for put in puts.values())
+
     def epoch(self, voters) -> None:
         if not voters.sets:
             return  # one that came back empty, and knows of no voters yet
--- a/flintreach/standins/soak.py
+++ b/flintreach/standins/soak.py
@@ -130,13 +130,20 @@
         self.paused.append((machine, began, time.monotonic_ns()))
 
     def cut(self) -> None:
-        """One machine from some or all refuges."""
-        machine = self.chance.choice(self.camp.machines)
-        others = [m for m in self.camp.of("refuge") if m is not machine]
-        pairs = [(machine.ip, m.ip) for m in self.chance.sample(others, self.chance.randint(1, len(others)))]
+        """A proxy from all refuges, or any machine from some of them."""
+        refuges = self.camp.of("refuge")
+        if self.chance.random() < 0.5:
+            machine, others = self.chance.choice(self.camp.of("proxy")), refuges
+        else:
+            machine = self.chance.choice(self.camp.machines)
+            others = [m for m in refuges if m is not machine]
+            others = self.chance.sample(others, self.chance.randint(1, len(others)))
+        self.apart([(machine.ip, other.ip) for other in others], self.chance.uniform(1.0, 7.0))
+
+    def apart(self, pairs: list[tuple[str, str]], seconds: float) -> None:
         self.pairs += pairs
         self.write_cuts()
-        gevent.sleep(self.chance.uniform(1.0, 6.0))
+        gevent.sleep(seconds)
         for pair in pairs:
             self.pairs.remove(pair)
         self.write_cuts()
@@ -220,14 +227,23 @@
         asked = [self.camp.ask(m, "/fetch/1", headers={"X-Shard-Key": "7"}) for m in self.camp.of("proxy")]
         return all(answer is not None and answer[0] == 200 for answer in asked)
 
+    def start(self) -> bool:
+        """Whether the whole system serves within a minute."""
+        self.camp.start()
+        for number in range(DESKS + STORES):
+            self.add("desk" if number < DESKS else "store", number)
+        limit = time.monotonic() + 60
+        return self.camp.put(TIMETABLE, limit) and self.camp.wait(self.served, limit)
+
+    def stop(self) -> None:
+        for machine in self.camp.machines:
+            if machine.process is not None and machine.process.poll() is None:
+                machine.process.send_signal(signal.SIGCONT)
+        self.camp.stop()
+
     def run(self) -> Verdict:
-        camp = self.camp
         try:
-            camp.start()
-            for number in range(DESKS + STORES):
-                self.add("desk" if number < DESKS else "store", number)
-            limit = time.monotonic() + 60
-            if not camp.put(TIMETABLE, limit) or not camp.wait(self.served, limit):
+            if not self.start():
                 self.verdict.fail("start", "the system did not serve within a minute")
                 return self.verdict
             jobs = [gevent.spawn(self.client, number) for number in range(CLIENTS)]
@@ -240,10 +256,7 @@
             self.judge()
             return self.verdict
         finally:
-            for machine in camp.machines:
-                if machine.process is not None and machine.process.poll() is None:
-                    machine.process.send_signal(signal.SIGCONT)
-            camp.stop()
+            self.stop()
 
 
 def main(
