--- a/tests/test_system_departures.py
+++ b/tests/test_system_departures.py
@@ -12,7 +12,8 @@
 
 from flintreach.proxy.carry import Carrier, Request
 from flintreach.proxy.choice import Here
-from flintreach.proxy.metrics import Metrics
+from flintreach.proxy.lease import ARRIVE_PART, SEND_PART
+from flintreach.proxy.metrics import VIOLATION, Metrics
 from flintreach.proxy.view import RoutingView
 from flintreach.standins.adversary import Adversary
 from flintreach.trail.board import Board
@@ -86,6 +87,30 @@
         fixture.tell("closing")
         self.assertFalse(fixture.takes(), "its departure was acknowledged a whole bound ago")
 
+    def test_one_first_met_while_it_leaves_counts_as_gone_long_ago(self):
+        """A proxy that starts, or returns after long, takes over records of departures without their time."""
+        fixture = Fixture(sharded=True)
+        fixture.tell("gone")
+        fixture.board.drop("hut/e")
+        fixture.tell("closing")
+        self.assertFalse(fixture.takes())
+
+    def test_a_departure_counts_from_the_last_confirmation_and_not_from_its_hearing(self):
+        fixture = Fixture(sharded=True)
+        fixture.later(LAST_CALL_MS * SEND_PART - 1, confirmed=False)
+        fixture.tell("closing")
+        self.assertTrue(fixture.takes())
+        fixture.later(1)
+        self.assertFalse(fixture.takes())
+
+    def test_a_sending_after_the_lease_is_counted_when_the_departure_is_heard(self):
+        for part, counted in ((ARRIVE_PART - 0.01, 0), (ARRIVE_PART + 0.01, 1)):
+            fixture = Fixture()
+            fixture.view.endpoints["e"].went_out_at = fixture.confirmed + int(part * LAST_CALL_MS * MS)
+            fixture.tell("closing")
+            fixture.tell("gone")
+            self.assertEqual(fixture.view.metrics.counts.get(VIOLATION, 0), counted, part)
+
 
 class Own(unittest.TestCase):
     """An endpoint's own word renews its lease while no news come."""
