--- a/flintreach/standins/soak.py
+++ b/flintreach/standins/soak.py
@@ -7,6 +7,7 @@
 - late: no request reaches an endpoint later than `last_call_ms` after its departure was acknowledged;
 - twice: no request that must not be repeated is run more than once;
 - refused: none that was refused with a promise (503) has run;
+- ended: no process ends by itself;
 - counted: no proxy has counted a sending after its endpoint's lease (`metrics.VIOLATION`).
 
 A request of a proxy that was paused within the bound before its arrival is not judged as late: a process may
@@ -209,8 +210,11 @@
         return any(m is machine and began <= at and until >= since for m, began, until in self.paused)
 
     def read_counters(self) -> None:
+        for machine in self.camp.machines:
+            if machine.process.poll() is not None:
+                self.verdict.fail("ended", f"{machine.name}: status {machine.process.returncode}")
         for machine in self.camp.of("proxy"):
-            if machine.process is None or machine.process.poll() is not None:
+            if machine.process.poll() is not None:
                 continue
             host, port = machine.posts["ready"].split(":")
             client = HTTPClient(host, int(port), connection_timeout=1.0, network_timeout=2.0)
