--- a/flintreach/proxy/carry.py
+++ b/flintreach/proxy/carry.py
@@ -9,6 +9,7 @@
 from gevent.queue import Empty, SimpleQueue
 
 from flintreach.bunks.plan import BUCKET, KEYS
+from flintreach.proxy.caller import Caller
 from flintreach.proxy.choice import (
     FULL_FOR,
     KEY_WAIT,
@@ -23,7 +24,7 @@
 from flintreach.proxy.connection import IDLE
 from flintreach.proxy.exchange import ANSWERED, BROKEN, NOT_RUN, UNSENT, Outcome, exchange
 from flintreach.proxy.gate import WAIT, Gate
-from flintreach.proxy.metrics import SEND_TIME, VIEW_AGE, Metrics
+from flintreach.proxy.metrics import SEND_TIME, SENT_FOR_NOBODY, VIEW_AGE, WORK_FOR_NOBODY, Metrics
 from flintreach.proxy.presence import Presence, stays
 from flintreach.proxy.reply import number
 from flintreach.proxy.view import RoutingView, slice_of
@@ -73,6 +74,7 @@
     came: int = 0
     low: dict[str, str] = field(default_factory=dict)  # by lower name
     connections: list = field(default_factory=list)  # connections that it went out on
+    caller: Caller = field(default_factory=Caller)  # who waits for its answer
 
 
 @dataclass(slots=True)
@@ -252,7 +254,7 @@
                 idle,
                 lambda: self.view.takes(endpoint),
                 request.connections,
-                lambda: self.went_out(endpoint, now),
+                lambda: self.went_out(request, endpoint, now),
                 lambda: self.view.arrive_by(endpoint),
             )
             if outcome.kind == ANSWERED and stays(outcome.message):
@@ -260,14 +262,19 @@
             return outcome
         finally:
             after = time.monotonic_ns()
+            if request.caller.left_at is not None:
+                self.metrics.observe(WORK_FOR_NOBODY, after - max(now, request.caller.left_at))
             endpoint.ends(outcome is not None and outcome.message is not None, after)
             if outcome is not None:
                 self.judge(endpoint, service, outcome, after, after - now)
 
-    def went_out(self, endpoint, chosen_at: int) -> None:
+    def went_out(self, request: Request, endpoint, chosen_at: int) -> None:
         """The kernel has taken a whole request to an endpoint that was chosen at `chosen_at` (ns)."""
         now = time.monotonic_ns()
         endpoint.went_out_at = now
+        left_at = request.caller.left_at
+        if left_at is not None and left_at < chosen_at:
+            self.metrics.count(SENT_FOR_NOBODY)
         self.metrics.observe(SEND_TIME, now - chosen_at)
         self.metrics.observe(VIEW_AGE, now - self.view.confirmed_at())
 
--- a/flintreach/proxy/front.py
+++ b/flintreach/proxy/front.py
@@ -12,6 +12,7 @@
 from gevent import pywsgi, socket
 from gevent.event import Event
 
+from flintreach.proxy.caller import Caller, HangupMonitor
 from flintreach.proxy.carry import Answer, Carrier, Request, own
 
 TOKEN = frozenset("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
@@ -105,12 +106,13 @@
     def __init__(self, sock, address, server, rfile=None):
         self.socket, self.client_address, self.server = sock, address, server
         self.source, self.pending, self.last = Source(sock), 0, None
-        self.closing, self.reader = False, None
+        self.closing, self.reader, self.caller = False, None, Caller()
 
     def handle(self) -> None:
         server, self.reader = self.server, gevent.getcurrent()
         server.handlers.add(self)
         try:
+            server.hangups.add(self.socket, self.caller)
             while not self.closing:
                 request = self.read()
                 if request is None or self.closing:
@@ -143,6 +145,7 @@
                 if head is None:
                     return None
                 request = parse(head)
+                request.caller = self.caller
             if not self.go_on(request):
                 return None
             with gevent.Timeout(limits.dwell_ms / 1000):
@@ -296,6 +299,7 @@
 
     def end(self) -> None:
         try:
+            self.server.hangups.remove(self.socket)
             self.socket.close()
         except OSError:
             pass
@@ -309,3 +313,4 @@
     def __init__(self, address: tuple[str, int], carrier: Carrier, limits):
         super().__init__(address, application=None, log=None, backlog=512)
         self.carrier, self.limits, self.handlers, self.draining = carrier, limits, set(), False
+        self.hangups = HangupMonitor()
--- a/flintreach/proxy/metrics.py
+++ b/flintreach/proxy/metrics.py
@@ -12,15 +12,18 @@
 
 # Counters that others read.
 VIOLATION = "sent after departure"  # must stay 0: a request went out when its endpoint's lease was over
+SENT_FOR_NOBODY = "sent after client left"  # a request went out though its client had left before
 
 # Histograms, with what each of them tells.
 VIEW_AGE = "view_age_at_send_seconds"
 SEND_TIME = "send_seconds"
 LATE_SEND = "send_after_departure_seconds"
+WORK_FOR_NOBODY = "work_after_client_left_seconds"
 HELP = {
     VIEW_AGE: "age of the routing view when a request went out",
     SEND_TIME: "time from the choice of an endpoint until the kernel had taken the whole request",
     LATE_SEND: "time by which a request may have gone out after its endpoint's acknowledged departure",
+    WORK_FOR_NOBODY: "time for which one try of a request was still under way after its client had left",
 }
 
 
