--- a/flintreach/standins/adversary.py
+++ b/flintreach/standins/adversary.py
@@ -46,6 +46,7 @@
 
     sock: socket.socket
     owed: bytes = b""
+    owes: str = ""  # the id of the request that it is the answer to
     buffer: bytearray = field(default_factory=bytearray)
 
     def read(self) -> Asked | None:
@@ -79,7 +80,8 @@
 
 class Adversary:
     """`ran`: id of a try -> how often it was run here; `portion`: bytes that are written at once; `well`:
-    what it says to health questions."""
+    what it says to health questions; `broken_off`: ids whose connection ended before their answer was
+    written; `let_go`: what "held" answers and held health answers wait for."""
 
     def __init__(self, id: str = "e0", address: tuple[str, int] = ("127.0.0.1", 0)):
         self.id, self.lines, self.opened = id, set(), 0
@@ -101,6 +103,7 @@
             line.sock.close()
         self.script, self.ran, self.came = deque(), Counter(), []
         self.portion, self.last, self.well = 1 << 20, b"", True
+        self.broken_off, self.let_go, self.holds_health = [], Event(), False
 
     def serve(self, sock, address) -> None:
         line = Line(sock)
@@ -109,6 +112,8 @@
         try:
             while (asked := line.read()) is not None:
                 if asked.target == HEALTH and not asked.id:
+                    if self.holds_health:
+                        self.let_go.wait()
                     self.write(line, self.health(asked))
                     continue
                 self.came.append(asked)
@@ -116,13 +121,17 @@
                 owed, line.owed = line.owed, b""
                 # The right owner of a reused address knows that it is not meant, whatever its trouble.
                 mine = asked.low.get("x-expect-endpoint", self.id) == self.id
-                data, stays = ACTS[act](self, asked, line) if mine else (self.refusal(asked, "421"), True)
+                data, stays = (
+                    (ACTS | HELD_ACTS)[act](self, asked, line) if mine else (self.refusal(asked, "421"), True)
+                )
                 self.write(line, owed + data)
                 if not stays:
                     break
         except OSError:
             pass
         finally:
+            if line.owed:
+                self.broken_off.append(line.owes)
             self.lines.discard(line)
 
     def write(self, line: Line, data: bytes) -> None:
@@ -202,9 +211,17 @@
 def silent(it: Adversary, asked: Asked, line: Line, runs: bool = True):
     """Runs it and says nothing until something else comes on the connection."""
     data = it.runs(asked) if runs else b""
+    line.owes = asked.id
     return later(line, b"", data)
 
 
+def held(it: Adversary, asked: Asked, line: Line):
+    """Runs it and answers when it is let go."""
+    data = it.runs(asked)
+    it.let_go.wait()
+    return data, True
+
+
 def surplus(it: Adversary, asked: Asked, line: Line):
     data = it.runs(asked)
     return data + data, True
@@ -302,6 +319,9 @@
     "odd status": answers("999 Odd", stamp=False),
 }
 
+# Acts that wait to be let go: for tests that name them.
+HELD_ACTS = {"held": held}
+
 
 class Pilot:
     """A pilot in trouble, a peer for links.  `script`: acts for the messages that come, then "answer"."""
--- /dev/null
+++ b/tests/test_system_hangups.py
@@ -0,0 +1,211 @@
+"""Nothing goes on for clients that have left (issue 45): a proxy on sockets, its clients, scripted endpoints."""
+
+import itertools
+import time
+import unittest
+
+import gevent
+import msgspec
+from gevent import socket
+
+from flintreach.proxy.carry import Carrier
+from flintreach.proxy.choice import Here
+from flintreach.proxy.front import Front
+from flintreach.proxy.metrics import Metrics
+from flintreach.proxy.view import RoutingView
+from flintreach.standins.adversary import RESET, Adversary
+from flintreach.trail.board import Board
+from flintreach.trail.tally import Tally
+from flintreach.waymark.settings import Bounds
+from flintreach.waymark.timetable import Caps
+
+SOON_S = 0.25  # within which it is over here
+AIM_MS, PATIENCE_S = 400, 0.24  # of the routes; the longest time after which a second endpoint is asked
+KINDS = {"s": "safe", "u": "unsafe", "d": "outbound_post"}  # prefix -> kind of route
+
+
+def configuration() -> bytes:
+    rules = [
+        {
+            "name": name,
+            "kind": kind,
+            "target_ms": AIM_MS,
+            "sorting": {"postcode": f"/{name}/"},
+            "dispatch": {"line": "desk", "deadline_ms": 5000, "tries": 3},
+        }
+        for name, kind in KINDS.items()
+    ]
+    return msgspec.json.encode(
+        {
+            "edition": "00000001",
+            "wickets": [{"destination": "a", "regulations": rules}],
+            "depots": [{"name": "desk", "checkup": "/health"}],
+        }
+    )
+
+
+class Site:
+    """A front with its carrier and two endpoints; `mbps`: of the proxy's link."""
+
+    def __init__(self, mbps: float = 0.0):
+        self.endpoints = [Adversary("e0"), Adversary("e1")]
+        self.ids = (f"{number:016x}" for number in itertools.count(1))
+        self.board, self.metrics = Board(), Metrics()
+        self.confirmed = (
+            time.monotonic_ns
+        )  # the view is confirmed all the while, unless a case says otherwise
+        bounds = Bounds(last_call_ms=600_000, retry_slack=1000)
+        self.view = RoutingView(
+            self.board,
+            Here("n", "r"),
+            {"n": "r"},
+            time.monotonic_ns,
+            bounds,
+            lambda: self.confirmed(),
+            self.metrics,
+        )
+        self.board.offer("timetable", 1, configuration())
+        for endpoint in self.endpoints:
+            fields = {"line": "desk", "addr": endpoint.addr, "zone": "n", "berths": 4}
+            self.board.offer(f"hut/{endpoint.id}", [1, 0], {**fields, "state": "ready", "cold": 0})
+        self.carrier = Carrier(self.view, bounds, self.metrics, Tally(), mbps)
+        self.front = Front(("127.0.0.1", 0), self.carrier, Caps)
+        self.front.start()
+
+    def stop(self) -> None:
+        self.front.stop(timeout=0)
+        for endpoint in self.endpoints:
+            endpoint.stop()
+
+    def script(self, *acts: str) -> None:
+        """What each endpoint does with the requests that come to it."""
+        for endpoint in self.endpoints:
+            endpoint.script.extend(acts)
+
+    def connect(self) -> socket.socket:
+        return socket.create_connection(self.front.address, timeout=5)
+
+    def send(self, sock, path: str = "/s/1", method: str = "GET", body: bytes = b"") -> str:
+        """Send one request; its id."""
+        id = next(self.ids)
+        rows = (f"{method} {path} HTTP/1.1", "Host: a", f"X-Try-Id: {id}", f"Content-Length: {len(body)}")
+        sock.sendall("\r\n".join([*rows, "", ""]).encode() + body)
+        return id
+
+    def came(self) -> list[str]:
+        return [asked.id for endpoint in self.endpoints for asked in endpoint.came]
+
+    def broken_off(self) -> list[str]:
+        return [id for endpoint in self.endpoints for id in endpoint.broken_off]
+
+    def held(self):
+        """The endpoints as the proxy sees them."""
+        return self.view.endpoints.values()
+
+    def under_way(self) -> int:
+        return sum(endpoint.mine for endpoint in self.held())
+
+
+def until(good, seconds: float = 5.0) -> bool:
+    """Whether `good()` became true in time."""
+    limit = time.monotonic() + seconds
+    while not good():
+        if time.monotonic() > limit:
+            return False
+        gevent.sleep(0.002)
+    return True
+
+
+def close(sock) -> None:
+    sock.close()
+
+
+def reset(sock) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    sock.close()
+
+
+def half_close(sock) -> None:
+    """The kernel can't tell it from a close, so it counts as one (docs/design/hangups.md)."""
+    sock.shutdown(socket.SHUT_WR)
+
+
+def close_behind_bytes(sock) -> None:
+    """The end of the stream stands behind bytes that the proxy does not read meanwhile."""
+    sock.sendall(b"POST /u/never HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf")
+    sock.close()
+
+
+WAYS_TO_LEAVE = (close, reset, half_close, close_behind_bytes)
+
+
+class Hangups(unittest.TestCase):
+    def setUp(self):
+        self.site = Site()
+        self.addCleanup(self.site.stop)
+
+    def settled(self) -> bool:
+        """Whether nothing is under way soon, and no connection of a client is left."""
+        return until(lambda: not self.site.under_way() and not self.site.front.handlers, SOON_S)
+
+    def runs_somewhere(self, id: str) -> bool:
+        return until(lambda: id in self.site.came())
+
+    def test_what_may_be_repeated_is_broken_off_when_its_client_leaves(self):
+        """However it is carried and however the client leaves, the endpoint's connection ends."""
+        for leave, (method, path) in itertools.product(
+            WAYS_TO_LEAVE, (("GET", "/s/1"), ("HEAD", "/s/1"), ("POST", "/s/1"), ("GET", "/d/1"))
+        ):
+            case = (leave.__name__, method, path)
+            for endpoint in self.site.endpoints:
+                endpoint.forget()
+            self.site.script("late", "late")
+            sock = self.site.connect()
+            id = self.site.send(sock, path, method)
+            self.assertTrue(self.runs_somewhere(id), case)
+            leave(sock)
+            self.assertTrue(until(lambda: id in self.site.broken_off(), SOON_S), case)  # noqa: B023
+            self.assertTrue(self.settled(), case)
+
+    def test_nothing_goes_out_any_more_for_a_client_that_left(self):
+        """Not beside a silent first, not again after a failure, not behind a wait for a turn."""
+        sock = self.site.connect()
+        self.site.script("late")
+        id = self.site.send(sock)
+        self.assertTrue(self.runs_somewhere(id))
+        sock.close()
+        gevent.sleep(PATIENCE_S + 0.1)
+        self.assertEqual(self.site.came(), [id], "a second endpoint was asked beside the first")
+
+        self.site.script("held", "held")
+        sock = self.site.connect()
+        again = self.site.send(sock, "/u/1", "POST")
+        self.assertTrue(self.runs_somewhere(again))
+        sock.close()
+        gevent.sleep(0.05)
+        for endpoint in self.site.endpoints:
+            endpoint.script.clear()
+            for line in endpoint.lines:
+                line.sock.shutdown(socket.SHUT_RDWR)
+            endpoint.let_go.set()
+        gevent.sleep(0.1)
+        self.assertEqual(self.site.came(), [id, again], "it was sent again")
+        self.assertTrue(self.settled())
+
+    def test_what_waits_behind_others_on_a_connection_that_ended_is_not_carried(self):
+        """Requests that are read, and some that still lie in the kernel."""
+        self.site.script(*["late"] * 4)
+        sock = self.site.connect()
+        ids = [self.site.send(sock) for _ in range(4)]
+        self.assertTrue(until(lambda: {*ids} <= {*self.site.came()}))
+        ids += [self.site.send(sock, "/u/1", "POST"), self.site.send(sock)]
+        gevent.sleep(0.02)
+        sock.close()
+        self.assertTrue(self.settled())
+        gevent.sleep(PATIENCE_S + 0.1)
+        self.assertFalse({*ids[4:]} & {*self.site.came()})
+        self.assertEqual(len(self.site.came()), 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
