--- a/flintreach/proxy/caller.py
+++ b/flintreach/proxy/caller.py
@@ -1,8 +1,8 @@
 """Whether the client of a request still waits for its answer.
 
-A `HangupMonitor` asks the kernel, without reading: the end of a client's stream may stand behind requests that
-a proxy has not read yet.  The kernel reports a peer that closed its side (EPOLLRDHUP), a reset, and one whose
-machine no longer answers keep-alive probes (EPOLLHUP, EPOLLERR; see epoll_ctl(2) and tcp(7)).
+A `HangupMonitor` asks the kernel, without reading: the end of a client's stream may stand behind requests
+that a proxy has not read yet.  The kernel reports a peer that closed its side (EPOLLRDHUP), a reset, and one
+whose machine no longer answers keep-alive probes (EPOLLHUP, EPOLLERR; see epoll_ctl(2) and tcp(7)).
 """
 
 import select
--- a/flintreach/proxy/carry.py
+++ b/flintreach/proxy/carry.py
@@ -9,7 +9,7 @@
 from gevent.queue import Empty, SimpleQueue
 
 from flintreach.bunks.plan import BUCKET, KEYS
-from flintreach.proxy.caller import Caller
+from flintreach.proxy.caller import Caller, ClientLeft
 from flintreach.proxy.choice import (
     FULL_FOR,
     KEY_WAIT,
@@ -24,7 +24,16 @@
 from flintreach.proxy.connection import IDLE
 from flintreach.proxy.exchange import ANSWERED, BROKEN, NOT_RUN, UNSENT, Outcome, exchange
 from flintreach.proxy.gate import WAIT, Gate
-from flintreach.proxy.metrics import SEND_TIME, SENT_FOR_NOBODY, VIEW_AGE, WORK_FOR_NOBODY, Metrics
+from flintreach.proxy.metrics import (
+    ABANDONED,
+    CLIENT_LEFT,
+    LATE_ABANDON,
+    SEND_TIME,
+    SENT_FOR_NOBODY,
+    VIEW_AGE,
+    WORK_FOR_NOBODY,
+    Metrics,
+)
 from flintreach.proxy.presence import Presence, stays
 from flintreach.proxy.reply import number
 from flintreach.proxy.view import RoutingView, slice_of
@@ -32,6 +41,7 @@
 
 MS, SECOND = 1_000_000, 1_000_000_000
 CONNECT_S = 0.6
+ABANDON_WITHIN = SECOND // 4  # of its client's end a repeatable request is broken off; later is a fault
 HOP = {
     "connection",
     "keep-alive",
@@ -75,6 +85,7 @@
     low: dict[str, str] = field(default_factory=dict)  # by lower name
     connections: list = field(default_factory=list)  # connections that it went out on
     caller: Caller = field(default_factory=Caller)  # who waits for its answer
+    repeatable: bool = False  # by its route
 
 
 @dataclass(slots=True)
@@ -141,12 +152,22 @@
         return route is not None and route.repeatable
 
     def carry(self, request: Request) -> Answer:
+        """The answer to a request.  Raises ClientLeft once nobody waits for it, with nothing left at work
+        that may be broken off."""
+        try:
+            return self.answer(request)
+        except ClientLeft:
+            self.metrics.count(CLIENT_LEFT)
+            raise
+
+    def answer(self, request: Request) -> Answer:
         if self.view.routes is None:
             return own(503, PAUSE)
         route = self.route(request)
         if route is None:
             self.metrics.count("no_route")
             return own(404)
+        request.repeatable = route.repeatable
         service, now = self.draw_service(route), time.monotonic_ns()
         wait = number(request.low.get("x-time-left-ms", ""))
         until = request.came + min(route.deadline, route.deadline if wait is None else wait * MS)
@@ -160,20 +181,34 @@
         size = self.gate.size(route.name, route.kind == "outbound_post")
         if not size:
             return self.tries(request, route, service, key, until, budget)
-        turn = Event()
-        wake = turn.set
-        if not self.gate.enter(size, wake) and not turn.wait(min(WAIT * route.aim, until - now) / SECOND):
-            if self.gate.give_up(wake):
-                self.metrics.count("no turn")
-                return own(503, PAUSE)
+        if not self.take_turn(request.caller, size, min(WAIT * route.aim, until - now)):
+            self.metrics.count("no turn")
+            return own(503, PAUSE)
         try:
             return self.tries(request, route, service, key, until, budget)
         finally:
             self.gate.leave(size)
 
+    def take_turn(self, caller: Caller, size: int, patience: float) -> bool:
+        """Wait for the turn of a large answer, `patience` nanoseconds at most; whether it has come.
+
+        Raises ClientLeft where it has not come and nobody waits for it any more.
+        """
+        turn = Event()
+        wake = turn.set
+        with caller.waking(wake):
+            if self.gate.enter(size, wake):
+                return True
+            turn.wait(patience / SECOND)
+        if not self.gate.give_up(wake):
+            return True
+        caller.check()
+        return False
+
     def tries(self, request, route, service, key, until, budget) -> Answer:
         view, tried, sent, dials, status = self.view, set(), 0, 0, 503
         while True:
+            request.caller.check()
             now = time.monotonic_ns()
             if now >= until:
                 return own(504 if sent else 503, None if sent else PAUSE)
@@ -192,8 +227,11 @@
                 budget.spend(now)
                 self.metrics.count("again")
             tried.add(endpoint.id)
-            if route.repeatable and sent + 1 < route.tries:
-                outcome, more = self.paired(request, route, service, key, endpoint, tried, until, budget)
+            if route.repeatable:
+                second = sent + 1 < route.tries
+                outcome, more = self.race(
+                    request, route, service, key, endpoint, tried, until, budget, second
+                )
                 sent += more
             else:
                 outcome = self.attempt(request, service, endpoint, until)
@@ -252,7 +290,7 @@
                 until,
                 CONNECT_S,
                 idle,
-                lambda: self.view.takes(endpoint),
+                lambda: self.may_go(request, endpoint),
                 request.connections,
                 lambda: self.went_out(request, endpoint, now),
                 lambda: self.view.arrive_by(endpoint),
@@ -260,14 +298,31 @@
             if outcome.kind == ANSWERED and stays(outcome.message):
                 endpoint.present_at = max(endpoint.present_at, now)
             return outcome
+        except gevent.GreenletExit:
+            self.metrics.count(ABANDONED)
+            raise
         finally:
             after = time.monotonic_ns()
-            if request.caller.left_at is not None:
-                self.metrics.observe(WORK_FOR_NOBODY, after - max(now, request.caller.left_at))
+            self.note_work_for_nobody(request, now, after)
             endpoint.ends(outcome is not None and outcome.message is not None, after)
             if outcome is not None:
                 self.judge(endpoint, service, outcome, after, after - now)
 
+    def may_go(self, request: Request, endpoint) -> bool:
+        """Asked last: whether a request may go out.  Raises ClientLeft where nobody waits for it."""
+        request.caller.check()
+        return self.view.takes(endpoint)
+
+    def note_work_for_nobody(self, request: Request, began: int, ended: int) -> None:
+        """Tell for how long a try of a repeatable request went on after its client had left."""
+        left_at = request.caller.left_at
+        if left_at is None or not request.repeatable:
+            return
+        time_for_nobody = ended - max(began, left_at)
+        self.metrics.observe(WORK_FOR_NOBODY, time_for_nobody)
+        if time_for_nobody > ABANDON_WITHIN:
+            self.metrics.count(LATE_ABANDON)
+
     def went_out(self, request: Request, endpoint, chosen_at: int) -> None:
         """The kernel has taken a whole request to an endpoint that was chosen at `chosen_at` (ns)."""
         now = time.monotonic_ns()
@@ -282,30 +337,49 @@
         outcome = Outcome(BROKEN)
         try:
             outcome = self.attempt(*attempt)
+        except ClientLeft:
+            pass  # the one that reads the end has been told by the caller itself
         finally:
             ends.put(outcome)
 
-    def paired(self, request, route, service, key, endpoint, tried, until, budget) -> tuple[Outcome, int]:
-        """A try, and a second beside it where the first stays silent; how many were sent beside it.
+    def race(
+        self, request, route, service, key, endpoint, tried, until, budget, second
+    ) -> tuple[Outcome, int]:
+        """A try of a request that may be repeated, and how many were sent beside it.
 
-        The first is never broken off: its endpoint may be at work, and its answer may still be the first.
+        Where the first endpoint stays silent, and `second` allows it, another one is asked beside it.  The
+        first is not broken off for that: its endpoint may be at work, and its answer may still be the first.
+        Both are when the client leaves; then ClientLeft is raised.
         """
-        ends = SimpleQueue()
-        gevent.spawn(self.told_to, ends, request, service, endpoint, until)
+        ends, caller = SimpleQueue(), request.caller
+        tries = [gevent.spawn(self.told_to, ends, request, service, endpoint, until)]
         try:
-            return ends.get(timeout=patience(route.aim, self.usual(route, service)) / SECOND), 0
-        except Empty:
-            pass
-        now = time.monotonic_ns()
-        other = self.choose(route, service, key, tried, now)
-        if other is None or not budget.may(now, self.view.here.fronts, SECOND_SHARE):
-            return ends.get(), 0
-        budget.spend(now)
-        self.metrics.count("beside")
-        tried.add(other.id)
-        gevent.spawn(self.told_to, ends, request, service, other, until)
-        first = ends.get()
-        return (first if first.kind == ANSWERED else ends.get()), 1
+            with caller.waking(lambda: ends.put(None)):
+                wait = patience(route.aim, self.usual(route, service)) / SECOND if second else None
+                try:
+                    return self.next_end(ends, caller, wait), 0
+                except Empty:
+                    pass
+                now = time.monotonic_ns()
+                other = self.choose(route, service, key, tried, now)
+                if other is None or not budget.may(now, self.view.here.fronts, SECOND_SHARE):
+                    return self.next_end(ends, caller), 0
+                budget.spend(now)
+                self.metrics.count("beside")
+                tried.add(other.id)
+                tries.append(gevent.spawn(self.told_to, ends, request, service, other, until))
+                first = self.next_end(ends, caller)
+                return (first if first.kind == ANSWERED else self.next_end(ends, caller)), 1
+        except ClientLeft:
+            for job in tries:
+                job.kill(block=False)
+            raise
+
+    def next_end(self, ends: SimpleQueue, caller: Caller, wait: float | None = None) -> Outcome:
+        """The next outcome of a race.  Raises Empty after `wait` seconds, ClientLeft once nobody waits."""
+        outcome = ends.get(timeout=wait)
+        caller.check()
+        return outcome
 
     def judge(self, endpoint, service, outcome, now, took) -> None:
         message = outcome.message
--- a/flintreach/proxy/connection.py
+++ b/flintreach/proxy/connection.py
@@ -61,7 +61,14 @@
         self.address, self.idle = place(addr), []
 
     def connect(self, timeout: float) -> Connection:
-        sock = socket.create_connection(self.address, timeout=timeout)
+        """A fresh connection.  Raises OSError where none comes up within `timeout` seconds."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.settimeout(timeout)
+            sock.connect(self.address)
+        except BaseException:  # also where the one that waits for it is ended
+            sock.close()
+            raise
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, MUTE_MS)
@@ -117,4 +124,7 @@
         socket.wait_read(connection.sock.fileno(), timeout=LOOK_S)
     except (OSError, TimeoutError):
         return False
+    except BaseException:
+        connection.drop()
+        raise
     return True  # bytes before any request are no answer either
--- a/flintreach/proxy/exchange.py
+++ b/flintreach/proxy/exchange.py
@@ -158,7 +158,8 @@
     """Send one request and read its answer.
 
     `until`, `arrive_by`: see `Exchange`.  `connect_s`: seconds for a connection to come up; `most`:
-    nanoseconds for which it may lie idle afterwards.  `still()`: asked last, whether the request may go out;
+    nanoseconds for which it may lie idle afterwards.  `still()`: asked last, whether the request may go out
+    (it may raise);
     `used`: connections that it went out on before, to which its own is added; `sent()`: called when the
     kernel has taken all of it.
     """
@@ -169,13 +170,12 @@
         connection = connected(pool, connect_s, until)
         if isinstance(connection, Outcome):
             return connection
-    if not still():
-        # Since it was chosen, news came or failed to come: its departure, its zone's, or a lease is over.
-        connection.drop()
-        return Outcome(UNSENT)
-    used.append(connection)
     job = Exchange(connection, head + body, id, until, arrive_by, sent)
     try:
+        if not still():
+            # Since it was chosen, news came or failed to come: its departure, its zone's, or a lease is over.
+            return Outcome(UNSENT)
+        used.append(connection)
         outcome = job.run()
         return outcome
     finally:
--- a/flintreach/proxy/front.py
+++ b/flintreach/proxy/front.py
@@ -12,7 +12,7 @@
 from gevent import pywsgi, socket
 from gevent.event import Event
 
-from flintreach.proxy.caller import Caller, HangupMonitor
+from flintreach.proxy.caller import Caller, ClientLeft, HangupMonitor
 from flintreach.proxy.carry import Answer, Carrier, Request, own
 
 TOKEN = frozenset("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
@@ -107,6 +107,7 @@
         self.socket, self.client_address, self.server = sock, address, server
         self.source, self.pending, self.last = Source(sock), 0, None
         self.closing, self.reader, self.caller = False, None, Caller()
+        self.caller.wakers.append(self.hang_up)
 
     def handle(self) -> None:
         server, self.reader = self.server, gevent.getcurrent()
@@ -245,9 +246,14 @@
             done.set()
 
     def carried(self, request: Request) -> Answer:
-        """Its answer, whatever happens: a gap among the answers would be filled by the next one."""
+        """Its answer, whatever happens: a gap among the answers would be filled by the next one.
+
+        Raises ClientLeft where nobody waits for any answer on this connection.
+        """
         try:
             return self.server.carrier.carry(request)
+        except ClientLeft:
+            raise
         except Exception:
             gevent.get_hub().handle_error(self, *sys.exc_info())
             return own(502)  # no promise: it may have run
@@ -288,6 +294,10 @@
                         pass
                 self.end()
 
+    def hang_up(self) -> None:
+        """The client has left: nothing else of this connection is read or carried."""
+        self.closing = True
+
     def idle(self) -> bool:
         """Whether nobody waits for anything here: a request may lie unread in the kernel."""
         if self.pending or self.source.buffer:
--- a/flintreach/proxy/metrics.py
+++ b/flintreach/proxy/metrics.py
@@ -12,7 +12,9 @@
 
 # Counters that others read.
 VIOLATION = "sent after departure"  # must stay 0: a request went out when its endpoint's lease was over
-SENT_FOR_NOBODY = "sent after client left"  # a request went out though its client had left before
+SENT_FOR_NOBODY = "sent after client left"  # must stay 0: a request went out though its client had left
+LATE_ABANDON = "worked on after client left"  # must stay 0: a repeatable request that was not broken off soon
+CLIENT_LEFT, ABANDONED = "client left", "abandoned"  # requests without a client; tries that were broken off
 
 # Histograms, with what each of them tells.
 VIEW_AGE = "view_age_at_send_seconds"
--- a/flintreach/proxy/presence.py
+++ b/flintreach/proxy/presence.py
@@ -7,6 +7,7 @@
 
 import time
 
+import gevent
 from gevent.event import Event
 
 from flintreach.proxy.choice import Endpoint
@@ -36,19 +37,21 @@
         now = time.monotonic_ns()
         if self.view.leased(endpoint, now):
             return True
-        limit = min(until, now + int(ASK_S * SECOND))
-        if (asking := self.asking.get(endpoint.id)) is not None:
-            asking.wait((limit - now) / SECOND)
-        else:
-            self.asking[endpoint.id] = asking = Event()
-            try:
-                self.ask(endpoint, now, limit)
-            finally:
-                del self.asking[endpoint.id]
-                asking.set()
+        if endpoint.id not in self.asking:
+            self.asking[endpoint.id] = Event()
+            # In a greenlet of its own: others wait for the same answer when the one that asks is ended.
+            gevent.spawn(self.ask, endpoint, now)
+        self.asking[endpoint.id].wait((min(until, now + int(ASK_S * SECOND)) - now) / SECOND)
         return self.view.leased(endpoint, time.monotonic_ns())
 
-    def ask(self, endpoint: Endpoint, now: int, limit: int) -> None:
+    def ask(self, endpoint: Endpoint, now: int) -> None:
+        """Put one question, and wake all that wait for its answer."""
+        try:
+            self.question(endpoint, now)
+        finally:
+            self.asking.pop(endpoint.id).set()
+
+    def question(self, endpoint: Endpoint, now: int) -> None:
         config = self.view.routes.depots.get(endpoint.service)
         if config is None or not config.checkup:
             return
@@ -59,6 +62,6 @@
             f"X-Expect-Endpoint: {endpoint.id}",
         )
         head = "\r\n".join([*lines, "", ""]).encode()
-        message = exchange(endpoint.pool, head, b"", "", limit, CONNECT_S).message
+        message = exchange(endpoint.pool, head, b"", "", now + int(ASK_S * SECOND), CONNECT_S).message
         if message is not None and message.status == 200 and message.get("x-endpoint-id") == endpoint.id:
             endpoint.present_at = max(endpoint.present_at, now)
--- a/tests/test_system_fuzz.py
+++ b/tests/test_system_fuzz.py
@@ -63,13 +63,23 @@
         pass
 
 
+class NoHangups:
+    """In place of the monitor: a peer made of bytes has no descriptor, and stays."""
+
+    def add(self, sock, caller):
+        pass
+
+    def remove(self, sock):
+        pass
+
+
 class Server:
     """Counts what reaches the carrying path."""
 
     draining = False
 
     def __init__(self):
-        self.handlers, self.carrier, self.came = set(), self, []
+        self.handlers, self.carrier, self.came, self.hangups = set(), self, [], NoHangups()
 
     def limits(self):
         return Caps(envelope_bytes=500, contents_bytes=1000)
--- a/tests/test_system_hangups.py
+++ b/tests/test_system_hangups.py
@@ -1,4 +1,4 @@
-"""Nothing goes on for clients that have left (issue 45): a proxy on sockets, its clients, scripted endpoints."""
+"""Nothing goes on for clients that have left (issue 45): a proxy on sockets and scripted endpoints."""
 
 import itertools
 import time
