--- a/flintreach/proxy/carry.py
+++ b/flintreach/proxy/carry.py
@@ -41,7 +41,8 @@
 
 MS, SECOND = 1_000_000, 1_000_000_000
 CONNECT_S = 0.6
-ABANDON_WITHIN = SECOND // 4  # of its client's end a repeatable request is broken off; later is a fault
+LOSER_S = 0.2  # for which the slower of two tries may go on, to keep its connection, when one has answered
+ABANDON_WITHIN = SECOND // 2  # of its client's end no repeatable request is at work any more
 HOP = {
     "connection",
     "keep-alive",
@@ -349,7 +350,8 @@
 
         Where the first endpoint stays silent, and `second` allows it, another one is asked beside it.  The
         first is not broken off for that: its endpoint may be at work, and its answer may still be the first.
-        Both are when the client leaves; then ClientLeft is raised.
+        When one has answered, the other is soon broken off; both are at once when the client leaves; then
+        ClientLeft is raised.
         """
         ends, caller = SimpleQueue(), request.caller
         tries = [gevent.spawn(self.told_to, ends, request, service, endpoint, until)]
@@ -371,9 +373,11 @@
                 first = self.next_end(ends, caller)
                 return (first if first.kind == ANSWERED else self.next_end(ends, caller)), 1
         except ClientLeft:
-            for job in tries:
-                job.kill(block=False)
+            gevent.killall(tries, block=False)
             raise
+        finally:
+            if len(tries) > 1:
+                gevent.spawn_later(LOSER_S, gevent.killall, tries, block=False)
 
     def next_end(self, ends: SimpleQueue, caller: Caller, wait: float | None = None) -> Outcome:
         """The next outcome of a race.  Raises Empty after `wait` seconds, ClientLeft once nobody waits."""
