The kernel is asked for the client right before a sending; cases for all that a request waits for

A process that stood still meets a request and its client's end together, and its event loop may come to the request first (case fails without the look).

--- a/flintreach/proxy/caller.py
+++ b/flintreach/proxy/caller.py
@@ -21,13 +21,14 @@
 
 
 class Caller:
-    """The client of one connection.  `left_at`: steady nanoseconds when it was seen to have left."""
+    """The client of one connection.  `left_at`: steady nanoseconds when it was seen to have left; `look()`:
+    asks the kernel now, not when the event loop comes to it."""
 
-    __slots__ = ("left_at", "wakers")
+    __slots__ = ("left_at", "look", "wakers")
 
-    def __init__(self):
+    def __init__(self, look: Callable[[], None] = lambda: None):
         self.left_at: int | None = None
-        self.wakers: list[Callable[[], None]] = []
+        self.look, self.wakers = look, list[Callable[[], None]]()
 
     def leave(self) -> None:
         """Note that the client has left, and wake all that is done for it."""
@@ -79,7 +80,7 @@
             self.epoll.unregister(number)
 
     def collect(self) -> None:
-        """Called by the event loop when some connection has ended."""
+        """Tell the callers whose connections have ended; called by the event loop, and before a sending."""
         for number, _ in self.epoll.poll(0):
             if (caller := self.callers.get(number)) is not None:
                 caller.leave()
--- a/flintreach/proxy/carry.py
+++ b/flintreach/proxy/carry.py
@@ -310,7 +310,11 @@
                 self.judge(endpoint, service, outcome, after, after - now)
 
     def may_go(self, request: Request, endpoint) -> bool:
-        """Asked last: whether a request may go out.  Raises ClientLeft where nobody waits for it."""
+        """Asked last: whether a request may go out.  Raises ClientLeft where nobody waits for it.
+
+        The kernel is asked, as this process may have stood still since the event loop last told of anything.
+        """
+        request.caller.look()
         request.caller.check()
         return self.view.takes(endpoint)
 
--- a/flintreach/proxy/front.py
+++ b/flintreach/proxy/front.py
@@ -106,7 +106,7 @@
     def __init__(self, sock, address, server, rfile=None):
         self.socket, self.client_address, self.server = sock, address, server
         self.source, self.pending, self.last = Source(sock), 0, None
-        self.closing, self.reader, self.caller = False, None, Caller()
+        self.closing, self.reader, self.caller = False, None, Caller(server.hangups.collect)
         self.caller.wakers.append(self.hang_up)
 
     def handle(self) -> None:
--- a/tests/test_system_fuzz.py
+++ b/tests/test_system_fuzz.py
@@ -72,6 +72,9 @@
     def remove(self, sock):
         pass
 
+    def collect(self):
+        pass
+
 
 class Server:
     """Counts what reaches the carrying path."""
--- a/tests/test_system_hangups.py
+++ b/tests/test_system_hangups.py
@@ -8,10 +8,10 @@
 import msgspec
 from gevent import socket
 
-from flintreach.proxy.carry import Carrier
+from flintreach.proxy.carry import LOSER_S, Carrier
 from flintreach.proxy.choice import Here
 from flintreach.proxy.front import Front
-from flintreach.proxy.metrics import Metrics
+from flintreach.proxy.metrics import LATE_ABANDON, SENT_FOR_NOBODY, Metrics
 from flintreach.proxy.view import RoutingView
 from flintreach.standins.adversary import RESET, Adversary
 from flintreach.trail.board import Board
@@ -21,7 +21,13 @@
 
 SOON_S = 0.25  # within which it is over here
 AIM_MS, PATIENCE_S = 400, 0.24  # of the routes; the longest time after which a second endpoint is asked
-KINDS = {"s": "safe", "u": "unsafe", "d": "outbound_post"}  # prefix -> kind of route
+# prefix -> kind of route, service
+ROUTES = {
+    "s": ("safe", "desk"),
+    "u": ("unsafe", "desk"),
+    "d": ("outbound_post", "desk"),
+    "k": ("safe", "lot"),
+}
 
 
 def configuration() -> bytes:
@@ -31,15 +37,15 @@
             "kind": kind,
             "target_ms": AIM_MS,
             "sorting": {"postcode": f"/{name}/"},
-            "dispatch": {"line": "desk", "deadline_ms": 5000, "tries": 3},
+            "dispatch": {"line": service, "deadline_ms": 5000, "tries": 3},
         }
-        for name, kind in KINDS.items()
+        for name, (kind, service) in ROUTES.items()
     ]
     return msgspec.json.encode(
         {
             "edition": "00000001",
             "wickets": [{"destination": "a", "regulations": rules}],
-            "depots": [{"name": "desk", "checkup": "/health"}],
+            "depots": [{"name": "desk", "checkup": "/health"}, {"name": "lot", "sharded": True}],
         }
     )
 
@@ -88,7 +94,13 @@
     def send(self, sock, path: str = "/s/1", method: str = "GET", body: bytes = b"") -> str:
         """Send one request; its id."""
         id = next(self.ids)
-        rows = (f"{method} {path} HTTP/1.1", "Host: a", f"X-Try-Id: {id}", f"Content-Length: {len(body)}")
+        rows = (
+            f"{method} {path} HTTP/1.1",
+            "Host: a",
+            f"X-Try-Id: {id}",
+            "X-Shard-Key: 7",
+            f"Content-Length: {len(body)}",
+        )
         sock.sendall("\r\n".join([*rows, "", ""]).encode() + body)
         return id
 
@@ -140,11 +152,18 @@
 WAYS_TO_LEAVE = (close, reset, half_close, close_behind_bytes)
 
 
-class Hangups(unittest.TestCase):
+class Case(unittest.TestCase):
+    mbps = 0.0  # of the proxy's link
+
     def setUp(self):
-        self.site = Site()
+        self.site = Site(self.mbps)
         self.addCleanup(self.site.stop)
 
+    def tearDown(self):
+        """The invariants that the code itself counts."""
+        for violation in (SENT_FOR_NOBODY, LATE_ABANDON):
+            self.assertEqual(self.site.metrics.counts.get(violation, 0), 0, violation)
+
     def settled(self) -> bool:
         """Whether nothing is under way soon, and no connection of a client is left."""
         return until(lambda: not self.site.under_way() and not self.site.front.handlers, SOON_S)
@@ -152,6 +171,15 @@
     def runs_somewhere(self, id: str) -> bool:
         return until(lambda: id in self.site.came())
 
+    def blameless(self) -> bool:
+        """Whether nothing bad was learnt of any endpoint, and none is thought to be at work."""
+        return all(
+            not (endpoint.strikes or endpoint.shun_until or endpoint.mine or endpoint.since)
+            for endpoint in self.site.held()
+        )
+
+
+class Hangups(Case):
     def test_what_may_be_repeated_is_broken_off_when_its_client_leaves(self):
         """However it is carried and however the client leaves, the endpoint's connection ends."""
         for leave, (method, path) in itertools.product(
@@ -207,6 +235,163 @@
         self.assertFalse({*ids[4:]} & {*self.site.came()})
         self.assertEqual(len(self.site.came()), 4)
 
+    def test_one_that_left_before_this_process_looked_is_not_carried(self):
+        """The process stood still: a request and its client's end lie in the kernel together."""
+        for path, method in (("/s/1", "GET"), ("/s/1", "POST"), ("/u/1", "POST")):
+            warm = self.site.connect()  # connections to endpoints stand, so a sending needs no wait
+            self.site.send(warm)
+            self.assertTrue(warm.recv(65536))
+            self.site.front.hangups.watcher.stop()  # the event loop comes to the request first
+            id = self.site.send(warm, path, method)
+            warm.close()
+            gevent.sleep(0.05)
+            self.assertNotIn(id, self.site.came(), (path, method))
+            self.site.front.hangups.watcher.start(self.site.front.hangups.collect)
+            self.assertTrue(self.settled())
+
+    def test_what_must_not_be_repeated_goes_on_and_is_not_sent_again(self):
+        """Breaking it off would leave its end unknown to everybody."""
+        self.site.script("held", "held")
+        sock = self.site.connect()
+        id = self.site.send(sock, "/u/1", "POST")
+        self.assertTrue(self.runs_somewhere(id))
+        sock.close()
+        gevent.sleep(SOON_S)
+        self.assertEqual((self.site.broken_off(), self.site.under_way()), ([], 1))
+        for endpoint in self.site.endpoints:
+            endpoint.let_go.set()
+        self.assertTrue(self.settled())
+        self.assertEqual(self.site.came(), [id])
+        self.assertEqual([len(endpoint.pool.idle) for endpoint in self.site.held()].count(1), 1)
+        self.assertTrue(self.blameless())
+
+    def test_what_is_broken_off_tells_nothing_of_its_endpoint(self):
+        """Nor of the usual time, nor does it use up a budget; the next client is served there."""
+        self.site.script("late", "late")
+        work = dict(self.site.carrier.work)
+        for _ in range(2):
+            sock = self.site.connect()
+            id = self.site.send(sock)
+            self.assertTrue(self.runs_somewhere(id))
+            sock.close()
+            self.assertTrue(self.settled())
+        self.assertTrue(self.blameless())
+        self.assertEqual(self.site.carrier.work, work)
+        self.assertEqual(sum(self.site.carrier.budget("desk").again), 0)
+        self.assertEqual(len(self.site.broken_off()), 2)
+        for endpoint in self.site.endpoints:
+            endpoint.script.clear()
+        sock = self.site.connect()
+        self.site.send(sock)
+        self.assertTrue(sock.recv(65536).startswith(b"HTTP/1.1 200"))
+
+    def test_the_slower_of_two_tries_ends_soon_after_the_answer(self):
+        self.site.script("late")
+        self.site.endpoints[0].script.append(
+            "answer"
+        )  # whichever is asked first is silent, the other answers
+        self.site.endpoints[1].script.append("answer")
+        sock = self.site.connect()
+        id = self.site.send(sock)
+        self.assertTrue(self.runs_somewhere(id))
+        for endpoint in self.site.endpoints:
+            endpoint.script.clear()
+        self.assertTrue(sock.recv(65536).startswith(b"HTTP/1.1 200"))
+        self.assertEqual(self.site.came(), [id, id])
+        self.assertEqual(self.site.broken_off(), [])
+        gevent.sleep(LOSER_S + 0.1)
+        self.assertEqual(self.site.broken_off(), [id])
+        self.assertTrue(self.blameless())
+
+    def test_a_proxy_that_leaves_does_not_wait_for_clients_that_left(self):
+        self.site.script("late", "late")
+        sock = self.site.connect()
+        self.assertTrue(self.runs_somewhere(self.site.send(sock)))
+        self.site.front.draining = True
+        gevent.sleep(0.02)
+        self.assertTrue(self.site.front.handlers)
+        sock.close()
+        self.assertTrue(self.settled())
+
+    def test_a_client_whose_machine_vanishes_is_noticed_by_probes(self):
+        sock = self.site.connect()
+        self.assertTrue(until(lambda: self.site.front.handlers))
+        (handler,) = self.site.front.handlers
+        self.assertTrue(handler.socket.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE))
+        idle = handler.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE)
+        interval = handler.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL)
+        probes = handler.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT)
+        self.assertLessEqual(idle + interval * probes, 5)
+        sock.close()
+
+
+class Waits(Case):
+    """What a request waits for before it goes out: nothing goes out once its client has left."""
+
+    mbps = 8.0
+
+    def leaves_while_waiting(self, path: str, method: str = "GET") -> str:
+        sock = self.site.connect()
+        id = self.site.send(sock, path, method)
+        gevent.sleep(0.03)
+        self.assertEqual(self.site.came(), [])
+        sock.close()
+        gevent.sleep(0.02)
+        return id
+
+    def test_for_its_turn_among_large_answers(self):
+        gate = self.site.carrier.gate
+        gate.under = held = 1 << 40
+        self.leaves_while_waiting("/d/1")
+        self.assertTrue(self.settled())
+        self.assertEqual((len(gate.queue), gate.under), (0, held))
+        gate.leave(held)
+        gevent.sleep(0.05)
+        self.assertEqual((self.site.came(), gate.under), ([], 0))
+
+    def test_for_a_connection(self):
+        for endpoint in self.site.held():
+            endpoint.pool.connect = slowly(endpoint.pool.connect)
+        for path, method in (("/s/1", "GET"), ("/u/1", "POST")):
+            self.leaves_while_waiting(path, method)
+            self.assertTrue(self.settled())
+        gevent.sleep(0.1)
+        self.assertEqual(self.site.came(), [])
+        self.assertTrue(self.blameless())
+
+    def test_for_an_endpoint_that_is_asked_whether_it_is_there(self):
+        """The question goes on, as others wait for its answer too."""
+        self.site.confirmed = lambda: time.monotonic_ns() - 601_000_000_000
+        for endpoint in self.site.endpoints:
+            endpoint.holds_health = True
+        gone = self.leaves_while_waiting("/s/1")
+        sock = self.site.connect()
+        id = self.site.send(sock, "/u/1", "POST")
+        gevent.sleep(0.02)
+        for endpoint in self.site.endpoints:
+            endpoint.let_go.set()
+        self.assertTrue(self.runs_somewhere(id))
+        self.assertNotIn(gone, self.site.came())
+        self.assertTrue(sock.recv(65536).startswith(b"HTTP/1.1 200"))
+
+    def test_for_keys_between_two_holders(self):
+        self.leaves_while_waiting("/k/1")
+        fields = {"line": "lot", "addr": self.site.endpoints[0].addr, "zone": "n", "berths": 4}
+        self.site.board.offer("hut/e0", [1, 1], {**fields, "state": "ready", "cold": 0})
+        self.site.board.offer("bunks/lot", [1, 1], [[0, 65535, "e0", "held"]])
+        gevent.sleep(0.1)
+        self.assertEqual(self.site.came(), [])
+
+
+def slowly(connect):
+    """Connections that come up, but late."""
+
+    def slow(timeout):
+        gevent.sleep(0.15)
+        return connect(timeout)
+
+    return slow
+
 
 if __name__ == "__main__":
     unittest.main()
