The carrying path in smaller modules: request, attempt, hedging; an exchange's terms are one struct

No change of behaviour. carry.py held 470 lines with four jobs and functions of nine parameters; exchange had eleven. What a route decides of a request is RoutedRequest, what binds an exchange is ExchangeTerms; tests changed in names and calls alone.

--- a/flintreach/proxy/caller.py
+++ b/flintreach/proxy/caller.py
@@ -26,9 +26,10 @@
 
     __slots__ = ("left_at", "look", "wakers")
 
-    def __init__(self, look: Callable[[], None] = lambda: None):
+    def __init__(self):
         self.left_at: int | None = None
-        self.look, self.wakers = look, list[Callable[[], None]]()
+        self.look: Callable[[], None] = lambda: None
+        self.wakers: list[Callable[[], None]] = []
 
     def leave(self) -> None:
         """Note that the client has left, and wake all that is done for it."""
@@ -70,7 +71,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, ALIVE_INTERVAL_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, ALIVE_PROBES)
         number = sock.fileno()
-        self.callers[number] = caller
+        self.callers[number], caller.look = caller, self.collect
         self.epoll.register(number, select.EPOLLRDHUP | select.EPOLLET)
 
     def remove(self, sock: socket.socket) -> None:
--- a/flintreach/proxy/carry.py
+++ b/flintreach/proxy/carry.py
@@ -6,116 +6,58 @@
 
 import gevent
 from gevent.event import Event
-from gevent.queue import Empty, SimpleQueue
 
 from flintreach.bunks.plan import BUCKET, KEYS
+from flintreach.proxy.attempt import EndpointClient
 from flintreach.proxy.caller import Caller, ClientLeft
 from flintreach.proxy.choice import (
-    FULL_FOR,
     KEY_WAIT,
     SECOND_SHARE,
     TABLE,
     Budget,
+    Endpoint,
     choose,
     cold_pilots,
-    idle_for,
     patience,
 )
-from flintreach.proxy.connection import IDLE
-from flintreach.proxy.exchange import ANSWERED, BROKEN, NOT_RUN, UNSENT, Outcome, exchange
+from flintreach.proxy.exchange import ANSWERED, UNSENT, Outcome
 from flintreach.proxy.gate import WAIT, Gate
-from flintreach.proxy.metrics import (
-    ABANDONED,
-    CLIENT_LEFT,
-    LATE_ABANDON,
-    SEND_TIME,
-    SENT_FOR_NOBODY,
-    VIEW_AGE,
-    WORK_FOR_NOBODY,
-    Metrics,
-)
-from flintreach.proxy.presence import Presence, stays
+from flintreach.proxy.hedging import Hedge
+from flintreach.proxy.metrics import CLIENT_LEFT, Metrics
 from flintreach.proxy.reply import number
+from flintreach.proxy.request import PAUSE, Answer, Request, own, relayed
 from flintreach.proxy.view import RoutingView, slice_of
 from flintreach.trail.tally import Tally
+from flintreach.waymark.settings import Bounds
+from flintreach.waymark.timetable import Route
 
 MS, SECOND = 1_000_000, 1_000_000_000
-CONNECT_S = 0.6
-LOSER_S = 0.2  # for which the slower of two tries may go on, to keep its connection, when one has answered
-ABANDON_WITHIN = SECOND // 2  # of its client's end no repeatable request is at work any more
-HOP = {
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "expect",
-    "x-expect-endpoint",
-    "x-time-left-ms",
-}
-# What a `Connection` header may not take away: by these it is told whose a request or an answer is.
-END_TO_END = {"host", "x-try-id", "x-postmark", "x-shard-key"}
-PAUSE = "0.1"  # seconds after which one that was turned away may come again
-REASONS = {
-    400: "Bad Request",
-    404: "Not Found",
-    408: "Request Timeout",
-    413: "Content Too Large",
-    431: "Request Header Fields Too Large",
-    500: "Internal Server Error",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
-
-
-@dataclass(slots=True)
-class Request:
-    """As the client sent it; `came`: steady nanoseconds when it had been read."""
-
-    method: str
-    target: str
-    headers: list[tuple[str, str]]
-    body: bytes = b""
-    came: int = 0
-    low: dict[str, str] = field(default_factory=dict)  # by lower name
-    connections: list = field(default_factory=list)  # connections that it went out on
-    caller: Caller = field(default_factory=Caller)  # who waits for its answer
-    repeatable: bool = False  # by its route
+KEY_LOOK_S = 0.02  # between two looks for keys that are on their way from one holder to another
+MOST_DIALS = 3  # tries that may end unsent
 
 
 @dataclass(slots=True)
-class Answer:
-    status: int
-    reason: str = ""
-    headers: list = field(default_factory=list)
-    body: bytes = b""
-    close: bool = False
-
+class RoutedRequest:
+    """A request with what its route decides of it; nobody waits after `until` (steady ns)."""
 
-def hops(connection: str) -> set[str]:
-    """Headers that concern one connection only, with those that its `Connection` header names."""
-    return HOP | {name.strip().lower() for name in connection.split(",")} - END_TO_END
-
-
-def own(status: int, again: str | None = None, why: str = "") -> Answer:
-    """An answer of the system's own."""
-    headers = [("Retry-After", again)] if again else []
-    return Answer(status, REASONS.get(status, "Error"), headers, why.encode())
+    request: Request
+    route: Route
+    service: str
+    key: int | None
+    until: int
+    budget: Budget
+    tried: set[str] = field(default_factory=set)  # ids of endpoints
 
 
 class Carrier:
-    def __init__(self, view: RoutingView, bounds, metrics: Metrics, tally: Tally, mbps: float = 0.0):
+    """Finds an endpoint for each request and brings its answer back.  `mbps`: of this machine's link."""
+
+    def __init__(self, view: RoutingView, bounds: Bounds, metrics: Metrics, tally: Tally, mbps: float = 0.0):
         self.view, self.bounds, self.metrics, self.tally = view, bounds, metrics, tally
-        self.presence = Presence(view, metrics)
+        self.endpoints = EndpointClient(view, metrics, tally)
+        self.work = self.endpoints.work
         self.budgets: dict[str, Budget] = {}
         self.gate = Gate(mbps)
-        self.work: dict[str, int] = {}  # service -> how long its requests take, smoothed
 
     def budget(self, service: str) -> Budget:
         if service not in self.budgets:
@@ -123,16 +65,7 @@
             self.budgets[service] = Budget(b.retry_ratio, b.retry_window_s, b.retry_slack)
         return self.budgets[service]
 
-    def head(self, request: Request, endpoint, left: int) -> bytes:
-        dropped = hops(request.low.get("connection", ""))
-        lines = [f"{request.method} {request.target} HTTP/1.1"]
-        lines += [f"{name}: {value}" for name, value in request.headers if name.lower() not in dropped]
-        lines += [f"X-Time-Left-Ms: {max(1, left // MS)}", f"X-Expect-Endpoint: {endpoint.id}"]
-        if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
-            lines.append(f"Content-Length: {len(request.body)}")
-        return "\r\n".join([*lines, "", ""]).encode("latin-1")
-
-    def draw_service(self, route) -> str:
+    def draw_service(self, route: Route) -> str:
         """The service, drawn by weight where the route has several."""
         if len(route.services) == 1:
             return route.services[0][0]
@@ -143,7 +76,7 @@
                 break
         return name
 
-    def route(self, request: Request):
+    def route(self, request: Request) -> Route | None:
         host = request.low.get("host", "").rpartition(":")[0] or request.low.get("host", "")
         return self.view.routes.find(host, request.target.partition("?")[0])
 
@@ -153,15 +86,10 @@
         return route is not None and route.repeatable
 
     def carry(self, request: Request) -> Answer:
-        """The answer to a request.  Raises ClientLeft once nobody waits for it, with nothing left at work
-        that may be broken off."""
-        try:
-            return self.answer(request)
-        except ClientLeft:
-            self.metrics.count(CLIENT_LEFT)
-            raise
+        """The answer to a request.
 
-    def answer(self, request: Request) -> Answer:
+        Raises ClientLeft once nobody waits for it; then nothing is at work that may be broken off.
+        """
         if self.view.routes is None:
             return own(503, PAUSE)
         route = self.route(request)
@@ -169,29 +97,43 @@
             self.metrics.count("no_route")
             return own(404)
         request.repeatable = route.repeatable
-        service, now = self.draw_service(route), time.monotonic_ns()
+        try:
+            return self.carry_in_turn(self.routed(request, route))
+        except ClientLeft:
+            self.metrics.count(CLIENT_LEFT)
+            raise
+
+    def routed(self, request: Request, route: Route) -> RoutedRequest:
+        """Draw the service of a request, and count it there."""
+        service = self.draw_service(route)
         wait = number(request.low.get("x-time-left-ms", ""))
         until = request.came + min(route.deadline, route.deadline if wait is None else wait * MS)
         self.tally.request(slice_of(route, service))
         budget = self.budget(service)
-        budget.request(now)
+        budget.request(time.monotonic_ns())
         key = number(request.low.get("x-shard-key", ""))
         key = key if key is not None and key < KEYS else None
         if key is not None and self.view.sharded(service):
             self.tally.key(service, key // BUCKET)
+        return RoutedRequest(request, route, service, key, until, budget)
+
+    def carry_in_turn(self, routed: RoutedRequest) -> Answer:
+        """Large answers take turns on the link; others go on at once."""
+        route = routed.route
         size = self.gate.size(route.name, route.kind == "outbound_post")
         if not size:
-            return self.tries(request, route, service, key, until, budget)
-        if not self.take_turn(request.caller, size, min(WAIT * route.aim, until - now)):
+            return self.try_endpoints(routed)
+        patience_ns = min(WAIT * route.aim, routed.until - time.monotonic_ns())
+        if not self.take_turn(routed.request.caller, size, patience_ns):
             self.metrics.count("no turn")
             return own(503, PAUSE)
         try:
-            return self.tries(request, route, service, key, until, budget)
+            return self.try_endpoints(routed)
         finally:
             self.gate.leave(size)
 
-    def take_turn(self, caller: Caller, size: int, patience: float) -> bool:
-        """Wait for the turn of a large answer, `patience` nanoseconds at most; whether it has come.
+    def take_turn(self, caller: Caller, size: int, patience_ns: float) -> bool:
+        """Wait for the turn of a large answer; whether it has come in time.
 
         Raises ClientLeft where it has not come and nobody waits for it any more.
         """
@@ -200,58 +142,61 @@
         with caller.waking(wake):
             if self.gate.enter(size, wake):
                 return True
-            turn.wait(patience / SECOND)
+            turn.wait(patience_ns / SECOND)
         if not self.gate.give_up(wake):
             return True
         caller.check()
         return False
 
-    def tries(self, request, route, service, key, until, budget) -> Answer:
-        view, tried, sent, dials, status = self.view, set(), 0, 0, 503
+    def try_endpoints(self, routed: RoutedRequest) -> Answer:
+        """Try one endpoint after the other, as far as outcomes, time and budget allow."""
+        route, budget, request = routed.route, routed.budget, routed.request
+        sent, dials, status = 0, 0, 503
         while True:
             request.caller.check()
             now = time.monotonic_ns()
-            if now >= until:
+            if now >= routed.until:
                 return own(504 if sent else 503, None if sent else PAUSE)
-            endpoint = self.choose(route, service, key, tried, now)
-            if endpoint is None and view.sharded(service) and now < request.came + int(KEY_WAIT * route.aim):
-                gevent.sleep(0.02)  # its keys are between two holders
-                tried.clear()
+            endpoint = self.choose(routed, now)
+            if endpoint is None and self.awaits_keys(routed, now):
+                gevent.sleep(KEY_LOOK_S)
+                routed.tried.clear()
                 continue
             if endpoint is None:
                 self.metrics.count("nowhere")
                 return own(status, PAUSE if status == 503 else None)
-            if sent and not budget.may(now, view.here.fronts):
+            if sent and not budget.may(now, self.view.here.fronts):
                 self.metrics.count("budget")
                 return own(status, PAUSE if status == 503 else None)
             if sent:
                 budget.spend(now)
                 self.metrics.count("again")
-            tried.add(endpoint.id)
-            if route.repeatable:
-                second = sent + 1 < route.tries
-                outcome, more = self.race(
-                    request, route, service, key, endpoint, tried, until, budget, second
-                )
-                sent += more
-            else:
-                outcome = self.attempt(request, service, endpoint, until)
+            routed.tried.add(endpoint.id)
+            outcome, beside = self.one_try(routed, endpoint, sent + 1 < route.tries)
             if outcome.kind == ANSWERED:
                 self.gate.saw(route.name, len(outcome.message.body))
-                return self.passed(outcome.message, request)
+                return relayed(outcome.message, request)
             self.metrics.count(outcome.kind)
-            sent, dials = sent + (outcome.kind != UNSENT), dials + (outcome.kind == UNSENT)
+            sent, dials = sent + beside + (outcome.kind != UNSENT), dials + (outcome.kind == UNSENT)
             step, status = TABLE[outcome.kind, route.repeatable]
-            if step == "end" or sent >= route.tries or dials > 3:
+            if step == "end" or sent >= route.tries or dials > MOST_DIALS:
                 return own(status, PAUSE if status == 503 else None)
 
-    def choose(self, route, service, key, tried, now):
-        view, depot = self.view, self.view.routes.depots.get(service)
-        rate, b, fronts = depot.cold_per_s if depot else 0.0, self.bounds, view.here.fronts
+    def awaits_keys(self, routed: RoutedRequest, now: int) -> bool:
+        """Whether the keys of a request may only be on their way from one holder to another."""
+        wait = int(KEY_WAIT * routed.route.aim)
+        return self.view.sharded(routed.service) and now < routed.request.came + wait
+
+    def choose(self, routed: RoutedRequest, now: int) -> Endpoint | None:
+        view, route, service = self.view, routed.route, routed.service
+        depot, bounds, fronts = view.routes.depots.get(service), self.bounds, view.here.fronts
+        rate = depot.cold_per_s if depot else 0.0
         # Keys have one holder: all must be able to reach it, even if it is cold.
-        pilots = fronts if view.sharded(service) else cold_pilots(rate, b.cold_excess, b.cold_slack, fronts)
+        pilots = fronts
+        if not view.sharded(service):
+            pilots = cold_pilots(rate, bounds.cold_excess, bounds.cold_slack, fronts)
         return choose(
-            view.able(route, service, key, tried),
+            view.able(route, service, routed.key, routed.tried),
             view.here,
             route.aim,
             self.usual(route, service),
@@ -262,166 +207,29 @@
             view.tables.get(slice_of(route, service)),
         )
 
-    def usual(self, route, service) -> int:
+    def usual(self, route: Route, service: str) -> int:
+        """How long the requests of a service usually take (ns)."""
         return self.work.get(service, route.aim // 8)
 
-    def attempt(self, request, service, endpoint, until) -> Outcome:
-        """One request to one endpoint, and what it tells of it."""
-        if not self.presence.confirmed(endpoint, until):
-            self.metrics.count("unconfirmed")
-            endpoint.fails(time.monotonic_ns(), self.view.sharded(service))
-            return Outcome(UNSENT)
+    def one_try(self, routed: RoutedRequest, endpoint: Endpoint, more: bool) -> tuple[Outcome, int]:
+        """A try at one endpoint, where `more` are allowed with another beside it; how many were beside it."""
+        request, route, service, until = routed.request, routed.route, routed.service, routed.until
+        if not route.repeatable:
+            return self.attempt(request, service, endpoint, until), 0
+        hedge = Hedge(request.caller, lambda chosen: self.attempt(request, service, chosen, until))
+        patience_s = patience(route.aim, self.usual(route, service)) / SECOND if more else None
+        return hedge.run(endpoint, lambda: self.second(routed), patience_s)
+
+    def second(self, routed: RoutedRequest) -> Endpoint | None:
+        """An endpoint to ask beside a silent one, where the budget allows it."""
         now = time.monotonic_ns()
-        if endpoint.cold_until > now:
-            endpoint.sent_cold = now
-        endpoint.sends(now)
-        outcome = None
-        try:
-            head = self.head(request, endpoint, until - now)
-            id = request.low.get("x-try-id", "")
-            depot = self.view.routes.depots.get(service)
-            idle = IDLE
-            if depot:
-                idle = idle_for(endpoint, self.view.here, depot.berth_cap, IDLE, depot.sharded)
-            outcome = exchange(
-                endpoint.pool,
-                head,
-                request.body,
-                id,
-                until,
-                CONNECT_S,
-                idle,
-                lambda: self.may_go(request, endpoint),
-                request.connections,
-                lambda: self.went_out(request, endpoint, now),
-                lambda: self.view.arrive_by(endpoint),
-            )
-            if outcome.kind == ANSWERED and stays(outcome.message):
-                endpoint.present_at = max(endpoint.present_at, now)
-            return outcome
-        except gevent.GreenletExit:
-            self.metrics.count(ABANDONED)
-            raise
-        finally:
-            after = time.monotonic_ns()
-            self.note_work_for_nobody(request, now, after)
-            endpoint.ends(outcome is not None and outcome.message is not None, after)
-            if outcome is not None:
-                self.judge(endpoint, service, outcome, after, after - now)
-
-    def may_go(self, request: Request, endpoint) -> bool:
-        """Asked last: whether a request may go out.  Raises ClientLeft where nobody waits for it.
-
-        The kernel is asked, as this process may have stood still since the event loop last told of anything.
-        """
-        request.caller.look()
-        request.caller.check()
-        return self.view.takes(endpoint)
-
-    def note_work_for_nobody(self, request: Request, began: int, ended: int) -> None:
-        """Tell for how long a try of a repeatable request went on after its client had left."""
-        left_at = request.caller.left_at
-        if left_at is None or not request.repeatable:
-            return
-        time_for_nobody = ended - max(began, left_at)
-        self.metrics.observe(WORK_FOR_NOBODY, time_for_nobody)
-        if time_for_nobody > ABANDON_WITHIN:
-            self.metrics.count(LATE_ABANDON)
-
-    def went_out(self, request: Request, endpoint, chosen_at: int) -> None:
-        """The kernel has taken a whole request to an endpoint that was chosen at `chosen_at` (ns)."""
-        now = time.monotonic_ns()
-        endpoint.went_out_at = now
-        left_at = request.caller.left_at
-        if left_at is not None and left_at < chosen_at:
-            self.metrics.count(SENT_FOR_NOBODY)
-        self.metrics.observe(SEND_TIME, now - chosen_at)
-        self.metrics.observe(VIEW_AGE, now - self.view.confirmed_at())
-
-    def told_to(self, ends: SimpleQueue, *attempt) -> None:
-        outcome = Outcome(BROKEN)
-        try:
-            outcome = self.attempt(*attempt)
-        except ClientLeft:
-            pass  # the one that reads the end has been told by the caller itself
-        finally:
-            ends.put(outcome)
-
-    def race(
-        self, request, route, service, key, endpoint, tried, until, budget, second
-    ) -> tuple[Outcome, int]:
-        """A try of a request that may be repeated, and how many were sent beside it.
-
-        Where the first endpoint stays silent, and `second` allows it, another one is asked beside it.  The
-        first is not broken off for that: its endpoint may be at work, and its answer may still be the first.
-        When one has answered, the other is soon broken off; both are at once when the client leaves; then
-        ClientLeft is raised.
-        """
-        ends, caller = SimpleQueue(), request.caller
-        tries = [gevent.spawn(self.told_to, ends, request, service, endpoint, until)]
-        try:
-            with caller.waking(lambda: ends.put(None)):
-                wait = patience(route.aim, self.usual(route, service)) / SECOND if second else None
-                try:
-                    return self.next_end(ends, caller, wait), 0
-                except Empty:
-                    pass
-                now = time.monotonic_ns()
-                other = self.choose(route, service, key, tried, now)
-                if other is None or not budget.may(now, self.view.here.fronts, SECOND_SHARE):
-                    return self.next_end(ends, caller), 0
-                budget.spend(now)
-                self.metrics.count("beside")
-                tried.add(other.id)
-                tries.append(gevent.spawn(self.told_to, ends, request, service, other, until))
-                first = self.next_end(ends, caller)
-                return (first if first.kind == ANSWERED else self.next_end(ends, caller)), 1
-        except ClientLeft:
-            gevent.killall(tries, block=False)
-            raise
-        finally:
-            if len(tries) > 1:
-                gevent.spawn_later(LOSER_S, gevent.killall, tries, block=False)
-
-    def next_end(self, ends: SimpleQueue, caller: Caller, wait: float | None = None) -> Outcome:
-        """The next outcome of a race.  Raises Empty after `wait` seconds, ClientLeft once nobody waits."""
-        outcome = ends.get(timeout=wait)
-        caller.check()
-        return outcome
-
-    def judge(self, endpoint, service, outcome, now, took) -> None:
-        message = outcome.message
-        if message is not None:
-            load = [number(part.strip()) for part in (message.get("x-endpoint-load") or "").split(",")]
-            if len(load) == 3 and None not in load:
-                endpoint.hears(load[0], load[1], now)
-                self.tally.told(endpoint.id, (load[0] + load[1]) / endpoint.berths)
-        if outcome.kind == ANSWERED:
-            endpoint.well()
-            if self.view.sharded(service):
-                self.tally.answer(service, len(message.body))
-            self.work[service] = (7 * self.work.get(service, took) + took) // 8
-        elif outcome.kind == NOT_RUN:
-            if message.status == 421:
-                endpoint.shun_until = max(endpoint.shun_until, now + 300 * MS)
-            else:
-                endpoint.shun_until = max(endpoint.shun_until, now + 50 * MS)
-        elif outcome.recalled:
-            self.metrics.count("recalled")
-            endpoint.fails(now, self.view.sharded(service))
-        elif outcome.full:
-            endpoint.shun_until = max(endpoint.shun_until, now + FULL_FOR)
-            self.metrics.count("full")
-        else:
-            endpoint.fails(now, self.view.sharded(service) and not outcome.dark)
-            if outcome.dark:  # its idle connections are as dead
-                endpoint.pool.close()
-
-    def passed(self, message, request) -> Answer:
-        dropped = hops(message.get("connection") or "")
-        if message.status == 304 or request.method == "HEAD" and message.status != 204:
-            dropped -= {"content-length"}  # of the body that a GET would have had
-        headers = [(name, value) for name, value in message.headers if name.lower() not in dropped]
-        if request.method != "HEAD" and message.status not in (204, 304):
-            headers.append(("Content-Length", str(len(message.body))))
-        return Answer(message.status, message.reason, headers, bytes(message.body))
+        endpoint = self.choose(routed, now)
+        if endpoint is None or not routed.budget.may(now, self.view.here.fronts, SECOND_SHARE):
+            return None
+        routed.budget.spend(now)
+        self.metrics.count("beside")
+        routed.tried.add(endpoint.id)
+        return endpoint
+
+    def attempt(self, request: Request, service: str, endpoint: Endpoint, until: int) -> Outcome:
+        return self.endpoints.attempt(request, service, endpoint, until)
--- a/flintreach/proxy/exchange.py
+++ b/flintreach/proxy/exchange.py
@@ -7,6 +7,7 @@
 import errno
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import gevent
 
@@ -55,16 +56,29 @@
     return ANSWERED
 
 
-class Exchange:
-    """A request on one connection, and what has come of it so far.  It goes on where a wait was ended.
+@dataclass(slots=True)
+class ExchangeTerms:
+    """What binds one exchange.  Moments are nanoseconds of the steady clock.
 
-    `until`: nobody waits for the answer any more.  `arrive_by()`: bytes that have not arrived by then are
-    taken back; it may move on meanwhile.  Both are nanoseconds of the steady clock.
+    `until`: nobody waits for the answer any more; `connect_s`: seconds for a connection to come up;
+    `idle_ns`: nanoseconds for which it may lie idle afterwards.  `may_go()`: asked last, whether the request
+    may go out; it may raise, and then nothing was sent.  `went_out()`: called when the kernel has taken all
+    of it.  `arrive_by()`: bytes that have not arrived by then are taken back; it may move on meanwhile.
     """
 
-    def __init__(self, connection: Connection, data: bytes, id: str, until: int, arrive_by, sent):
-        self.connection, self.id, self.until = connection, id, until
-        self.arrive_by, self.sent = arrive_by, sent
+    until: int
+    connect_s: float
+    idle_ns: int = IDLE
+    may_go: Callable[[], bool] = lambda: True
+    went_out: Callable[[], None] = lambda: None
+    arrive_by: Callable[[], int] = lambda: NEVER
+
+
+class Exchange:
+    """A request on one connection, and what has come of it so far.  It goes on where a wait was ended."""
+
+    def __init__(self, connection: Connection, data: bytes, id: str, terms: ExchangeTerms):
+        self.connection, self.id, self.terms = connection, id, terms
         self.left = memoryview(data)
         self.begun, self.arrived = False, False  # bytes went out; all of them are at the endpoint's machine
         self.replies, self.size = Replies(data.startswith(b"HEAD ")), 0
@@ -72,7 +86,8 @@
 
     def run(self) -> Outcome:
         while True:
-            limit = self.until if self.arrived else min(self.until, self.arrive_by())
+            until = self.terms.until
+            limit = until if self.arrived else min(until, self.terms.arrive_by())
             timer = gevent.Timeout(max(0, limit - time.monotonic_ns()) / SECOND)
             try:
                 with timer:
@@ -92,7 +107,7 @@
         while self.left:
             self.left = self.left[self.connection.sock.send(self.left) :]
             self.begun = True
-        self.sent()
+        self.terms.went_out()
 
     def receive(self) -> Outcome:
         while data := self.connection.sock.recv(READ_SIZE):
@@ -118,10 +133,10 @@
     def over(self) -> Outcome | None:
         """What a limit that has passed means; None where the request may go on."""
         now = time.monotonic_ns()
-        if now >= self.until:
+        if now >= self.terms.until:
             return Outcome(TIMEOUT)
         self.arrived = not self.left and not self.connection.unacknowledged()
-        if self.arrived or now < self.arrive_by():
+        if self.arrived or now < self.terms.arrive_by():
             return None
         # A part of it may have arrived: then it may have run.
         return Outcome(BROKEN if self.begun else UNSENT, recalled=True)
@@ -147,32 +162,24 @@
     head: bytes,
     body: bytes,
     id: str,
-    until: int,
-    connect_s: float,
-    most: int = IDLE,
-    still: Callable[[], bool] = lambda: True,
-    used: list | None = None,
-    sent: Callable[[], None] = lambda: None,
-    arrive_by: Callable[[], int] = lambda: NEVER,
+    terms: ExchangeTerms,
+    used: list[Connection] | None = None,
 ) -> Outcome:
     """Send one request and read its answer.
 
-    `until`, `arrive_by`: see `Exchange`.  `connect_s`: seconds for a connection to come up; `most`:
-    nanoseconds for which it may lie idle afterwards.  `still()`: asked last, whether the request may go out
-    (it may raise);
-    `used`: connections that it went out on before, to which its own is added; `sent()`: called when the
-    kernel has taken all of it.
+    `used`: connections that the request went out on before, to which its own is added.  Raises what
+    `terms.may_go` raises.
     """
     # The id tells answers apart, so none goes twice on one connection, and one without an id goes alone.
     used = [] if used is None else used
     connection = pool.take(used) if id else None
     if connection is None:
-        connection = connected(pool, connect_s, until)
+        connection = connected(pool, terms.connect_s, terms.until)
         if isinstance(connection, Outcome):
             return connection
-    job = Exchange(connection, head + body, id, until, arrive_by, sent)
+    job = Exchange(connection, head + body, id, terms)
     try:
-        if not still():
+        if not terms.may_go():
             # Since it was chosen, news came or failed to come: its departure, its zone's, or a lease is over.
             return Outcome(UNSENT)
         used.append(connection)
@@ -180,6 +187,6 @@
         return outcome
     finally:
         if job.reusable:
-            pool.put(connection, outcome.message, most)
+            pool.put(connection, outcome.message, terms.idle_ns)
         else:
             connection.drop()
--- a/flintreach/proxy/front.py
+++ b/flintreach/proxy/front.py
@@ -13,7 +13,8 @@
 from gevent.event import Event
 
 from flintreach.proxy.caller import Caller, ClientLeft, HangupMonitor
-from flintreach.proxy.carry import Answer, Carrier, Request, own
+from flintreach.proxy.carry import Carrier
+from flintreach.proxy.request import Answer, Request, own
 
 TOKEN = frozenset("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
 AHEAD = 8  # requests of one connection in hand at once
@@ -106,7 +107,7 @@
     def __init__(self, sock, address, server, rfile=None):
         self.socket, self.client_address, self.server = sock, address, server
         self.source, self.pending, self.last = Source(sock), 0, None
-        self.closing, self.reader, self.caller = False, None, Caller(server.hangups.collect)
+        self.closing, self.reader, self.caller = False, None, Caller()
         self.caller.wakers.append(self.hang_up)
 
     def handle(self) -> None:
--- a/flintreach/proxy/presence.py
+++ b/flintreach/proxy/presence.py
@@ -11,7 +11,7 @@
 from gevent.event import Event
 
 from flintreach.proxy.choice import Endpoint
-from flintreach.proxy.exchange import SECOND, exchange
+from flintreach.proxy.exchange import SECOND, ExchangeTerms, exchange
 from flintreach.proxy.metrics import Metrics
 from flintreach.proxy.reply import Message
 from flintreach.proxy.view import RoutingView
@@ -62,6 +62,7 @@
             f"X-Expect-Endpoint: {endpoint.id}",
         )
         head = "\r\n".join([*lines, "", ""]).encode()
-        message = exchange(endpoint.pool, head, b"", "", now + int(ASK_S * SECOND), CONNECT_S).message
+        terms = ExchangeTerms(now + int(ASK_S * SECOND), CONNECT_S)
+        message = exchange(endpoint.pool, head, b"", "", terms).message
         if message is not None and message.status == 200 and message.get("x-endpoint-id") == endpoint.id:
             endpoint.present_at = max(endpoint.present_at, now)
--- a/tests/test_system_carrying.py
+++ b/tests/test_system_carrying.py
@@ -12,13 +12,23 @@
 
 from flintreach.cairn.voters import Voters
 from flintreach.lookout.roster import Member
-from flintreach.proxy.carry import Carrier, Request
+from flintreach.proxy.carry import Carrier
 from flintreach.proxy.choice import SECOND, Here
 from flintreach.proxy.connection import Connection
-from flintreach.proxy.exchange import ANSWERED, BROKEN, NOT_RUN, TIMEOUT, UNSENT, Outcome, exchange
+from flintreach.proxy.exchange import (
+    ANSWERED,
+    BROKEN,
+    NOT_RUN,
+    TIMEOUT,
+    UNSENT,
+    ExchangeTerms,
+    Outcome,
+    exchange,
+)
 from flintreach.proxy.gate import FIRST, Gate
 from flintreach.proxy.metrics import Metrics
 from flintreach.proxy.reply import Message
+from flintreach.proxy.request import Request
 from flintreach.proxy.view import RoutingView
 from flintreach.refuge.contact import NEVER, Contact
 from flintreach.refuge.placing import TTL, Placing, leader
@@ -147,7 +157,7 @@
         job, carrier = carrying(["hang", ANSWERED])
         self.assertEqual(job.get(timeout=20).status, 200)
         self.assertEqual(len(set(carrier.sent)), 2)
-        self.assertFalse(carrier.let_go.is_set())  # the first is still there, not broken off
+        self.assertFalse(carrier.let_go.is_set())  # the first was not broken off for it
 
     def test_one_that_must_not_run_twice_has_no_second(self):
         job, carrier = carrying(["hang", ANSWERED], "unsafe")
@@ -229,9 +239,7 @@
                 b"GET / HTTP/1.1\r\n\r\n",
                 b"",
                 "i",
-                time.monotonic_ns() + 9 * SECOND,
-                1.0,
-                still=lambda: made.takes(endpoint),
+                ExchangeTerms(time.monotonic_ns() + 9 * SECOND, 1.0, may_go=lambda: made.takes(endpoint)),
             )
         self.assertEqual(out.kind, UNSENT)
         self.assertEqual(sent[0].recv(10), b"")
--- a/tests/test_system_departures.py
+++ b/tests/test_system_departures.py
@@ -10,10 +10,11 @@
 import msgspec
 from gevent import socket
 
-from flintreach.proxy.carry import Carrier, Request
+from flintreach.proxy.carry import Carrier
 from flintreach.proxy.choice import Here
 from flintreach.proxy.lease import ARRIVE_PART, SEND_PART
 from flintreach.proxy.metrics import VIOLATION, Metrics
+from flintreach.proxy.request import Request
 from flintreach.proxy.view import RoutingView
 from flintreach.standins.adversary import Adversary
 from flintreach.trail.board import Board
--- a/tests/test_system_fuzz.py
+++ b/tests/test_system_fuzz.py
@@ -72,9 +72,6 @@
     def remove(self, sock):
         pass
 
-    def collect(self):
-        pass
-
 
 class Server:
     """Counts what reaches the carrying path."""
@@ -91,7 +88,7 @@
         return False
 
     def carry(self, request):
-        from flintreach.proxy.carry import Answer
+        from flintreach.proxy.request import Answer
 
         self.came.append(request)
         return Answer(200, "OK", [], b"ok")
--- a/tests/test_system_hangups.py
+++ b/tests/test_system_hangups.py
@@ -8,9 +8,10 @@
 import msgspec
 from gevent import socket
 
-from flintreach.proxy.carry import LOSER_S, Carrier
+from flintreach.proxy.carry import Carrier
 from flintreach.proxy.choice import Here
 from flintreach.proxy.front import Front
+from flintreach.proxy.hedging import LOSER_S
 from flintreach.proxy.metrics import LATE_ABANDON, SENT_FOR_NOBODY, Metrics
 from flintreach.proxy.view import RoutingView
 from flintreach.standins.adversary import RESET, Adversary
--- a/tests/test_system_parts.py
+++ b/tests/test_system_parts.py
@@ -45,7 +45,7 @@
     patience,
 )
 from flintreach.proxy.connection import Connection, ConnectionPool
-from flintreach.proxy.exchange import UNSENT, exchange
+from flintreach.proxy.exchange import UNSENT, ExchangeTerms, exchange
 from flintreach.proxy.reply import HTTPParseError, Replies
 from flintreach.ridge.place import Place, Ridge
 from flintreach.rope.host import Host
@@ -607,7 +607,9 @@
         there.close()
         pool = ConnectionPool("10.0.0.1:80")
         with mock.patch.object(pool, "connect", lambda timeout: Connection(here)):
-            out = exchange(pool, b"POST / HTTP/1.1", b"", "i", time.monotonic_ns() + 9 * SECOND, 1.0)
+            out = exchange(
+                pool, b"POST / HTTP/1.1", b"", "i", ExchangeTerms(time.monotonic_ns() + 9 * SECOND, 1.0)
+            )
         self.assertEqual((out.kind, out.full, out.dark), (UNSENT, True, False))
 
     def test_a_sole_holder_is_not_shunned_for_long(self):
