--- a/flintreach/proxy/front.py
+++ b/flintreach/proxy/front.py
@@ -1,8 +1,8 @@
 """Clients' connections: gevent's WSGI endpoint with a handler of our own.
 
 The library's handler decodes paths, takes two lengths in one request and answers one request after the other;
-here the target stays raw, what could be read in two ways is refused, and repeatable requests sent behind one
-another are carried side by side and answered in order.
+here requests are read by `intake`, and repeatable ones sent behind one another are carried side by side and
+answered in order.
 """
 
 import sys
@@ -14,93 +14,13 @@
 
 from flintreach.proxy.caller import Caller, ClientLeft, HangupMonitor
 from flintreach.proxy.carry import Carrier
+from flintreach.proxy.intake import BadRequest, Source, parse, read_body
 from flintreach.proxy.request import Answer, Request, own
 
-TOKEN = frozenset("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
 AHEAD = 8  # requests of one connection in hand at once
 LINGER_S = 0.3  # for what a client still sends behind an answer that closes
 
 
-class Bad(Exception):
-    """A request that is refused before it has a route; its status."""
-
-
-class Source:
-    """The bytes of a connection, with the two ways of reading that pywsgi's Input wants."""
-
-    def __init__(self, sock):
-        self.sock, self.buffer, self.ended = sock, bytearray(), False
-
-    def more(self) -> bool:
-        data = b"" if self.ended else self.sock.recv(65536)
-        self.buffer += data
-        self.ended = self.ended or not data
-        return bool(data)
-
-    def read(self, size: int) -> bytes:
-        while len(self.buffer) < size and self.more():
-            pass
-        out = bytes(self.buffer[:size])
-        del self.buffer[:size]
-        return out
-
-    def until(self, mark: bytes, most: int) -> bytes | None:
-        """What stands before a mark, which is dropped; None at the end.  Raises Bad past `most` bytes."""
-        seen = 0
-        while (at := self.buffer.find(mark, max(0, seen - len(mark)))) < 0:
-            seen = len(self.buffer)
-            if seen > most:
-                raise Bad(431)
-            if not self.more():
-                return None
-        if at > most:
-            raise Bad(431)
-        out = bytes(self.buffer[:at])
-        del self.buffer[: at + len(mark)]
-        return out
-
-
-def parse(head: bytes) -> Request:
-    """A request's head.  Raises Bad on all that two readers could take for two things."""
-    try:
-        first, *lines = head.decode("latin-1").split("\r\n")
-        method, target, version = first.split(" ")
-    except ValueError:
-        raise Bad(400) from None
-    if version != "HTTP/1.1" or not method or not TOKEN.issuperset(method) or not target.startswith("/"):
-        raise Bad(400)
-    if any(char < "!" or char > "~" for char in target) or "\n" in head.decode("latin-1").replace("\r\n", ""):
-        raise Bad(400)
-    request = Request(method, target, [])
-    for line in lines:
-        name, colon, value = line.partition(":")
-        value = value.strip(" \t")
-        if not colon or not name or not TOKEN.issuperset(name) or "\r" in value or "\0" in value:
-            raise Bad(400)
-        low = name.lower()
-        if low in request.low and low in (
-            "host",
-            "content-length",
-            "transfer-encoding",
-            "x-try-id",
-            "x-time-left-ms",
-            "x-shard-key",
-        ):
-            raise Bad(400)
-        request.low[low] = f"{request.low[low]},{value}" if low in request.low else value
-        request.headers.append((name, value))
-    if not request.low.get("host"):
-        raise Bad(400)
-    if "transfer-encoding" in request.low:
-        if "content-length" in request.low or request.low["transfer-encoding"].lower() != "chunked":
-            raise Bad(400)
-    elif "content-length" in request.low:
-        length = request.low["content-length"]
-        if not (length.isascii() and length.isdigit()) or len(length) > 15:
-            raise Bad(400)
-    return request
-
-
 class FrontHandler(pywsgi.WSGIHandler):
     """One client's connection."""
 
@@ -120,8 +40,8 @@
                 if request is None or self.closing:
                     break
                 self.dispatch(request)
-        except Bad as error:
-            self.refuse(error.args[0])
+        except BadRequest as error:
+            self.refuse(error.status)
         except (OSError, gevent.Timeout):
             pass
         finally:
@@ -151,9 +71,9 @@
             if not self.go_on(request):
                 return None
             with gevent.Timeout(limits.dwell_ms / 1000):
-                request.body = self.body(request, limits.contents_bytes)
+                request.body = read_body(source, request, limits.contents_bytes)
         except gevent.Timeout:
-            raise Bad(408) from None
+            raise BadRequest(408) from None
         request.came = time.monotonic_ns()
         return request
 
@@ -168,43 +88,6 @@
             self.socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
         return True
 
-    def body(self, request: Request, most: int) -> bytes:
-        if "transfer-encoding" in request.low:
-            return self.chunks(most)
-        length = int(request.low.get("content-length", 0))
-        if length > most:
-            raise Bad(413)
-        data = self.source.read(length) if length else b""
-        if len(data) < length:
-            raise OSError
-        return data
-
-    def chunks(self, most: int) -> bytes:
-        source, parts = self.source, bytearray()
-        while True:
-            line = source.until(b"\r\n", 256)
-            if line is None:
-                raise OSError
-            size = line.split(b";")[0].strip(b" \t")
-            if not size or len(size) > 12 or not all(c in b"0123456789abcdefABCDEF" for c in size):
-                raise Bad(400)
-            size = int(size, 16)
-            if not size:
-                break
-            if len(parts) + size > most:
-                raise Bad(413)
-            data = source.read(size + 2)
-            if len(data) < size + 2:
-                raise OSError
-            if data[-2:] != b"\r\n":
-                raise Bad(400)
-            parts += data[:-2]
-        while line := source.until(b"\r\n", 8192):  # trailers are passed over
-            pass
-        if line is None:
-            raise OSError
-        return bytes(parts)
-
     def dispatch(self, request: Request) -> None:
         carrier = self.server.carrier
         close = "close" in request.low.get("connection", "").lower()
--- a/tests/test_system_fuzz.py
+++ b/tests/test_system_fuzz.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from flintreach.lookout.roster import Member, Roster
-from flintreach.proxy.front import Bad, FrontHandler, Source, parse
+from flintreach.proxy.front import FrontHandler
+from flintreach.proxy.intake import BadRequest, Source, parse
 from flintreach.proxy.reply import HTTPParseError, Replies
 from flintreach.waymark import timetable
 from flintreach.waymark.timetable import Caps
@@ -129,7 +130,7 @@
     def test_a_head_is_read_or_refused(self, data):
         try:
             request = parse(data)
-        except Bad:
+        except BadRequest:
             return
         again = f"{request.method} {request.target} HTTP/1.1\r\n" + "\r\n".join(
             f"{name}: {value}" for name, value in request.headers
--- a/tests/test_system_parts.py
+++ b/tests/test_system_parts.py
@@ -836,7 +836,7 @@
 
 class Fronts(unittest.TestCase):
     def test_what_two_readers_could_take_for_two_things_is_refused(self):
-        from flintreach.proxy.front import Bad, parse
+        from flintreach.proxy.intake import BadRequest, parse
 
         good = b"POST /a%2Fb?q=1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3"
         self.assertEqual(parse(good).target, "/a%2Fb?q=1")
@@ -854,7 +854,7 @@
             b"GET / HTTP/1.1\r\nHost: a\r\nHost: b",
         ]
         for head in bad:
-            with self.assertRaises(Bad, msg=head):
+            with self.assertRaises(BadRequest, msg=head):
                 parse(head)
 
     def test_a_request_under_way_is_not_idle(self):
