--- a/flintreach/__main__.py
+++ b/flintreach/__main__.py
@@ -1,6 +1,7 @@
 """The command line: serve, version, check-config.  Each loads only what it uses."""
 
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -122,6 +123,8 @@
     """A program of the whole system; it loads nothing of the pilot in service, nor that of it."""
     import importlib
 
+    # Until it can take the signal, one must not end it: what changed meanwhile is found by `settings.watch`.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     importlib.import_module(f"flintreach.{name}.program").main()
 
 
--- a/flintreach/standins/camp.py
+++ b/flintreach/standins/camp.py
@@ -70,10 +70,16 @@
     posts: dict[str, str] = field(default_factory=dict)
     module: str = "flintreach"  # what is run, with the role as its argument
     environ: dict[str, str] = field(default_factory=dict)
+    started_at: float = 0.0  # steady seconds
+
+    def running_for(self) -> float:
+        """Seconds since its last start."""
+        return time.monotonic() - self.started_at
 
     def start(self) -> None:
         settings = {"FLINTREACH_NODE_FILE": os.path.join(self.folder, "node.yaml")}
         environ = {**os.environ, **settings, **self.environ}
+        self.started_at = time.monotonic()
         with open(os.path.join(self.folder, "log"), "ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", self.module, self.role], env=environ, stdout=log, stderr=log
@@ -101,6 +107,7 @@
         self.base, self.port, self.own = base, port, folder is None
         self.folder = folder or tempfile.mkdtemp(prefix="flintreach-camp-")
         names, self.machines, self.endpoints = [*ZONES], [], []
+        self.module, self.environ = "flintreach", {}  # of machines that join later
         self.losses = {"machines": (refuges - 1) // 2 and 1, "zones": int(refuges >= len(ZONES))}
         for number in range(refuges + proxies):
             role = "refuge" if number < refuges else "proxy"
@@ -114,9 +121,20 @@
                     os.path.join(self.folder, f"{role}-{number}"),
                 )
             )
+        self.made = len(self.machines)
         for machine in self.machines:
             self.settle(machine, first_run)
 
+    def join(self, role: str, zone: str) -> Machine:
+        """A further machine, with empty disk and at an address of its own; it is not started."""
+        self.made += 1
+        name = f"{role}-{self.made}"
+        machine = Machine(name, role, f"{self.base}.{self.made}", zone, os.path.join(self.folder, name))
+        machine.module, machine.environ = self.module, self.environ
+        self.machines.append(machine)
+        self.settle(machine, first_run=False)
+        return machine
+
     def of(self, role: str) -> list[Machine]:
         return [machine for machine in self.machines if machine.role == role]
 
@@ -148,8 +166,10 @@
             "carrier": {"report_ms": 500},
             "tariffs": {"losses": self.losses},
         }
-        with open(os.path.join(machine.folder, "node.yaml"), "w", encoding="utf-8") as file:
+        path = os.path.join(machine.folder, "node.yaml")
+        with open(path + ".new", "w", encoding="utf-8") as file:
             yaml.safe_dump(node, file)
+        os.replace(path + ".new", path)
 
     def control(self) -> list[tuple[str, int]]:
         return [(m.ip, self.port) for m in self.of("refuge") if m.process and m.process.poll() is None]
--- a/flintreach/standins/endpoint.py
+++ b/flintreach/standins/endpoint.py
@@ -6,15 +6,19 @@
 import itertools
 import time
 import uuid
+from dataclasses import dataclass
+from enum import Enum
 
 import gevent
 import msgspec
 from gevent import pywsgi
+from gevent.event import Event
 from gevent.lock import BoundedSemaphore
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 
 from flintreach.bunks.plan import KEYS
+from flintreach.proxy.caller import Caller, ClientLeft, HangupMonitor
 from flintreach.waymark import calls
 
 
@@ -32,6 +36,30 @@
 
 
 LOST = "flintreach.lost"  # in the environ: whether the answer is to be lost
+CALLER = "flintreach.caller"  # in the environ: who waits for the answer
+
+
+class RunEnd(Enum):
+    """How the work on one request ended."""
+
+    ANSWERED = "answered"
+    ANSWER_LOST = "answer lost"  # it was done, and its connection was ended in place of an answer
+    DROPPED = "dropped"  # its caller closed the connection
+    STOPPED = "stopped"  # the endpoint ended meanwhile
+
+
+@dataclass(slots=True)
+class Run:
+    """Work on one request; steady nanoseconds, `ended_at` None while it is at work."""
+
+    id: str
+    began_at: int
+    work_ns: int  # how long it takes if nobody breaks it off
+    ended_at: int | None = None
+    end: RunEnd | None = None
+
+    def finish(self, end: RunEnd) -> None:
+        self.ended_at, self.end = time.monotonic_ns(), end
 
 
 class Held:
@@ -65,8 +93,22 @@
         return any(low <= key <= high and now < until for low, high, _, until in self.ranges)
 
 
-class LosingHandler(pywsgi.WSGIHandler):
-    """Ends the connection in place of an answer that is to be lost."""
+class EndpointHandler(pywsgi.WSGIHandler):
+    """Tells a request's work whether its caller is still there, and ends the connection in place of an answer
+    that is to be lost."""
+
+    def handle(self):
+        self.caller, monitor, number = Caller(), self.server.hangups, self.socket.fileno()
+        try:
+            monitor.add(self.socket, self.caller)
+            super().handle()
+        except OSError:
+            pass  # it had ended before it was served
+        finally:
+            monitor.callers.pop(number, None)  # its descriptor is closed, which ended the watch
+
+    def get_environ(self):
+        return {**super().get_environ(), CALLER: self.caller}
 
     def _sendall(self, data):
         if self.environ is not None and self.environ.get(LOST):
@@ -79,7 +121,8 @@
     """One life of an endpoint.  `control()`: addresses (ip, port) to which it may beat.
 
     `arrived`: (steady ns, id of a try) of each request that it was meant to get; `departed_at`: when its
-    departure was first acknowledged; `lose_answer()`, `lose_ack()`: whether the next one is lost.
+    departure was first acknowledged; `runs`: the work that it began; `lose_answer()`, `lose_ack()`: whether
+    the next one is lost.
     """
 
     def __init__(
@@ -104,11 +147,13 @@
         self.ran: dict[str, int] = {}  # id of a try -> how often it was run here
         self.refused = 0
         self.arrived: list[tuple[int, str]] = []
+        self.runs: list[Run] = []
         self.departed_at: int | None = None
         self.lose_answer = self.lose_ack = lambda: False
         self.server = pywsgi.WSGIServer(
-            address, self.answer, log=None, error_log=None, handler_class=LosingHandler
+            address, self.answer, log=None, error_log=None, handler_class=EndpointHandler
         )
+        self.server.hangups = HangupMonitor()
         self.beats = None
 
     def start(self) -> None:
@@ -120,6 +165,9 @@
         if self.beats is not None:
             self.beats.kill(block=False)
         self.server.stop(timeout=0)
+        for run in self.runs:
+            if run.end is None:
+                run.finish(RunEnd.STOPPED)
 
     # What others call.
 
@@ -171,14 +219,27 @@
             self.running += 1
             id = environ.get("HTTP_X_TRY_ID", "")
             self.ran[id] = self.ran.get(id, 0) + 1
+            run = Run(id, time.monotonic_ns(), int(self.work_s * 1e9))
+            self.runs.append(run)
             try:
-                gevent.sleep(self.work_s)
+                self.wait_for_work(environ[CALLER])
+            except ClientLeft:
+                run.finish(RunEnd.DROPPED)
+                return "500 Internal Server Error", [], b"nobody waits"
             finally:
                 self.running -= 1
         environ[LOST] = self.lose_answer()
+        run.finish(RunEnd.ANSWER_LOST if environ[LOST] else RunEnd.ANSWERED)
         body = f"{self.line} at {self.id} did {environ['REQUEST_METHOD']} {environ['PATH_INFO']}\n".encode()
         return "200 OK", [("X-Postmark", f"{self.id}.{self.ran[id]}"), ("Content-Type", "text/plain")], body
 
+    def wait_for_work(self, caller: Caller) -> None:
+        """The work on one request.  Raises ClientLeft when its caller ends the connection."""
+        dropped = Event()
+        with caller.waking(dropped.set):
+            dropped.wait(self.work_s)
+        caller.check()
+
     # What it says of itself.
 
     def tell(self, path: str, body: bytes) -> bool:
--- a/flintreach/standins/faulty.py
+++ b/flintreach/standins/faulty.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import signal
 import sys
 
 import gevent
@@ -76,6 +77,7 @@
 
 
 def main() -> None:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # as `program` does, which comes later here
     from flintreach.__main__ import program
     from flintreach.waymark import settings
 
--- a/flintreach/waymark/settings.py
+++ b/flintreach/waymark/settings.py
@@ -132,6 +132,10 @@
         raise SettingsError(f"{name}: {error}") from None
 
 
+FileMark = tuple[int, int, int]
+last_read: dict[str, FileMark | None] = {}  # path -> the file as it was read last
+
+
 def again(held: Node) -> Node:
     """The settings read anew, or those held where the file can't be used: a bad file stops nobody."""
     from flintreach.waymark.log import say
@@ -145,22 +149,29 @@
 
 def watch(reread, sleep, every: float = 2.0) -> None:
     """Call `reread` when the file has changed: that comes with a signal or without one."""
-    path, seen = os.environ.get(VARIABLE) or DEFAULT, None
+    path = os.environ.get(VARIABLE) or DEFAULT
+    seen = last_read.get(path)
     while True:
-        try:
-            stat = os.stat(path)
-            mark = stat.st_mtime_ns, stat.st_size, stat.st_ino
-        except OSError:
-            mark = seen
+        mark = file_mark(path) or seen
         if seen is not None and mark != seen:
             reread()
         seen = mark
         sleep(every)
 
 
+def file_mark(path: str) -> FileMark | None:
+    """What tells one content of a file from another; None where there is no such file."""
+    try:
+        stat = os.stat(path)
+    except OSError:
+        return None
+    return stat.st_mtime_ns, stat.st_size, stat.st_ino
+
+
 def load(path: str | None = None) -> Node:
     """The settings of this process.  Raises SettingsError."""
     path = path or os.environ.get(VARIABLE) or DEFAULT
+    last_read[path] = file_mark(path)
     try:
         with open(path, encoding="utf-8") as file:
             return parse(file.read(), path)
