--- a/flintreach/standins/simulated_trial.py
+++ b/flintreach/standins/simulated_trial.py
@@ -587,9 +587,13 @@
     return play(*args)
 
 
-def many(seeds, refuges: int | None = None, on=tuple(INVARIANTS), workers: int = 4, plant: str = ""):
-    """Outcomes in the order of the seeds, played by some processes.  These are started anew, so that nothing
-    of this one (its hash seed, its greenlets) has a part in them."""
+def many(
+    seeds, refuges: int | None = None, on=tuple(INVARIANTS), workers: int | None = None, plant: str = ""
+):
+    """Outcomes in the order of the seeds, played by `workers` processes, one a processor if not told.
+
+    They are started anew, so that nothing of this one (its hash seed, its greenlets) has a part in them.
+    """
     context = multiprocessing.get_context("spawn")
     pool = ProcessPoolExecutor(workers, mp_context=context)
     try:
--- a/tests/test_system_endpoints.py
+++ b/tests/test_system_endpoints.py
@@ -103,6 +103,18 @@
     }
 
 
+def dialling(dial, **fields):
+    """Links that are dialled as before, with some of their fields changed."""
+
+    def changed(*args):
+        link = dial(*args)
+        for name, value in fields.items():
+            setattr(link, name, value)
+        return link
+
+    return changed
+
+
 class Follows(unittest.TestCase):
     def setUp(self):
         self.clock = Clock()
@@ -158,14 +170,7 @@
     def test_a_long_snapshot_is_followed_by_a_mark(self):
         for number in range(900):
             self.parent.offer(f"hut/i-{number}", [number, 0], hut())
-        dial = self.clock.dial
-
-        def slow(*args):
-            link = dial(*args)
-            link.slow = 0.9
-            return link
-
-        self.clock.dial = slow
+        self.clock.dial = dialling(self.clock.dial, slow=0.9)
         follow, link = self.follow()
         self.assertEqual(link.asked, ["follow", "lack", "mark"])
         self.assertAlmostEqual(self.clock.at - follow.fresh_at, 0.9)
@@ -204,14 +209,7 @@
     def test_a_parent_with_old_news_is_not_taken(self):
         follow = Follow(self.clock, self.child, "parent")
         self.parent.offer("hut/a", [1, 0], hut())
-        dial = self.clock.dial
-
-        def old(*args):
-            link = dial(*args)
-            link.age = 1.5
-            return link
-
-        self.clock.dial = old
+        self.clock.dial = dialling(self.clock.dial, age=1.5)
         self.assertFalse(follow.begin(oldest=STALE))
         self.assertFalse(self.child.parcels)
 
