--- a/flintreach/standins/soak/ledger.py
+++ b/flintreach/standins/soak/ledger.py
@@ -78,6 +78,7 @@
     longest_for_nobody_s: float = 0.0  # the longest work on a repeatable request after its client left
     kept: int = 0  # answers on kept connections
     configurations: int = 0
+    logs: str = ""  # the folder of the machines, kept where something broke
 
     def fail(self, invariant: str, what: str) -> None:
         self.broken.setdefault(invariant, []).append(what)
@@ -95,6 +96,7 @@
             "longest_for_nobody_s": round(self.longest_for_nobody_s, 3),
             "kept": self.kept,
             "configurations": self.configurations,
+            "logs": self.logs,
         }
         return json.dumps(told)
 
--- a/flintreach/standins/soak/run.py
+++ b/flintreach/standins/soak/run.py
@@ -195,6 +195,8 @@
         return self.camp.put(TIMETABLE, limit) and self.camp.wait(self.served, limit)
 
     def stop(self) -> None:
+        if self.verdict.broken:
+            self.camp.own, self.verdict.logs = False, self.camp.folder
         for machine in self.camp.machines:
             if machine.process is not None and machine.process.poll() is None:
                 machine.process.send_signal(signal.SIGCONT)
