--- a/flintreach/standins/endpoint.py
+++ b/flintreach/standins/endpoint.py
@@ -148,6 +148,9 @@
         self.refused = 0
         self.arrived: list[tuple[int, str]] = []
         self.runs: list[Run] = []
+        self.dropped_waiting: list[
+            Run
+        ] = []  # not begun, as their callers ended the connection; from their arrival
         self.departed_at: int | None = None
         self.lose_answer = self.lose_ack = lambda: False
         self.server = pywsgi.WSGIServer(
@@ -210,19 +213,22 @@
             return refused("421 Misdirected Request")
         if self.sharded and not (key.isdigit() and self.held.holds(int(key), time.monotonic())):
             return refused("421 Misdirected Request")
-        self.arrived.append((time.monotonic_ns(), environ.get("HTTP_X_TRY_ID", "")))
+        arrived_at, id, caller = time.monotonic_ns(), environ.get("HTTP_X_TRY_ID", ""), environ[CALLER]
+        self.arrived.append((arrived_at, id))
         if self.waiting >= self.queue:
             return refused("503 Service Unavailable")
         self.waiting += 1
         with self.places:
             self.waiting -= 1
+            if caller.left_at is not None:
+                self.dropped_waiting.append(Run(id, arrived_at, 0, caller.left_at, RunEnd.DROPPED))
+                return "500 Internal Server Error", [], b"nobody waits"
             self.running += 1
-            id = environ.get("HTTP_X_TRY_ID", "")
             self.ran[id] = self.ran.get(id, 0) + 1
             run = Run(id, time.monotonic_ns(), int(self.work_s * 1e9))
             self.runs.append(run)
             try:
-                self.wait_for_work(environ[CALLER])
+                self.wait_for_work(caller)
             except ClientLeft:
                 run.finish(RunEnd.DROPPED)
                 return "500 Internal Server Error", [], b"nobody waits"
--- a/flintreach/standins/soak/ledger.py
+++ b/flintreach/standins/soak/ledger.py
@@ -115,11 +115,14 @@
 
     def judge(self, endpoints: list[Endpoint], verdict: Verdict) -> None:
         runs: dict[str, list[Run]] = {}
+        waited: dict[str, list[Run]] = {}  # requests whose connection ended before they were run
         arrivals: dict[str, list[int]] = {}
         for endpoint in endpoints:
             self.judge_departure(endpoint, verdict)
             for run in endpoint.runs:
                 runs.setdefault(run.id, []).append(run)
+            for run in endpoint.dropped_waiting:
+                waited.setdefault(run.id, []).append(run)
             for at, id in endpoint.arrived:
                 arrivals.setdefault(id, []).append(at)
         for request in self.sent.values():
@@ -127,7 +130,8 @@
             verdict.kept += request.kept and request.status is not None
             self.judge_runs(request, runs.get(request.id, []), verdict)
             self.judge_loss(request, runs.get(request.id, []), verdict)
-            self.judge_leaving(request, runs.get(request.id, []), arrivals.get(request.id, []), verdict)
+            held = runs.get(request.id, []) + waited.get(request.id, [])
+            self.judge_leaving(request, held, arrivals.get(request.id, []), verdict)
 
     def judge_departure(self, endpoint: Endpoint, verdict: Verdict) -> None:
         if endpoint.departed_at is None:
