--- a/review/harness.py
+++ b/review/harness.py
@@ -59,6 +59,8 @@
     "ttl_max_s": 5,
 }
 REPORT_MS = 1500
+MEMORY_MB = {"controller": 296, "proxy": 200}  # as the site's machines have
+CONTENTS_BYTES = 67108864  # the longest body that a client may send, by the configuration
 HOST = "ficu95.example"
 
 START_TIMEOUT_S = 25.0
@@ -156,7 +158,12 @@
                 "counted": is_controller,
                 "first_run": True,
                 "store_dir": os.path.join(machine.folder, "disk") if is_controller else None,
-                "limits": {"cpu_share": 1.0, "cores": 1, "memory_mb": 300, "file_handles": 4096},
+                "limits": {
+                    "cpu_share": 1.0,
+                    "cores": 1,
+                    "memory_mb": MEMORY_MB[machine.role],
+                    "file_handles": 4096,
+                },
             },
             "network": {
                 "posts": {name: f"{machine.ip}:{self.port + offset}" for name, offset in names.items()},
@@ -291,7 +298,7 @@
         "edition": f"{number:08x}",
         "limits": {
             "envelope_bytes": 16384,
-            "contents_bytes": 67108864,
+            "contents_bytes": CONTENTS_BYTES,
             "envelope_ms": 3000,
             "dwell_ms": 15000,
         },
@@ -644,16 +651,25 @@
 
 
 def request(
-    address: tuple[str, int], method: str, path: str, try_id: str, time_left_ms: int, key: int | None = None
+    address: tuple[str, int],
+    method: str,
+    path: str,
+    try_id: str,
+    time_left_ms: int,
+    key: int | None = None,
+    body: bytes = b"x" * 100,
 ) -> Answer:
-    """Send one request to a proxy, and wait for its answer for as long as the client has time."""
+    """Send one request to a proxy, and wait for its answer for as long as the client has time.
+
+    Only a POST has the body.
+    """
     began = time.monotonic()
     headers = {"Host": HOST, "X-Try-Id": try_id, "X-Time-Left-Ms": str(time_left_ms)}
     if key is not None:
         headers["X-Shard-Key"] = str(key)
     connection = http.client.HTTPConnection(*address, timeout=time_left_ms / 1000 + 1)
     try:
-        connection.request(method, path, b"x" * 100 if method == "POST" else None, headers)
+        connection.request(method, path, body if method == "POST" else None, headers)
         answer = connection.getresponse()
         answer.read()
         return Answer(answer.status, answer.getheader("X-Postmark", ""), time.monotonic() - began)
