Proxy: its last log line tells the requests without a response

Change: `stopped` has `unanswered`, the requests that were read and have no response yet, and `closed_idle`, the idle connections that the drain closed. Closing idle connections is a method of the listener. No decision changed.

--- a/flintreach/proxy/client_listener.py
+++ b/flintreach/proxy/client_listener.py
@@ -339,3 +339,14 @@
         self.handlers: set[ClientHandler] = set()
         self.draining = False
         self.hangup_monitor = HangupMonitor()
+
+    def close_idle(self) -> int:
+        """Close the connections on which no request is pending; return their number."""
+        idle = [handler for handler in self.handlers if handler.is_idle()]
+        for handler in idle:
+            handler.close()
+        return len(idle)
+
+    def pending_requests(self) -> int:
+        """Number of requests that have been read but not yet answered, on all connections."""
+        return sum(handler.pending for handler in self.handlers)
--- a/flintreach/proxy/program.py
+++ b/flintreach/proxy/program.py
@@ -228,15 +228,20 @@
             return 0
         gevent.sleep(DRAIN_NOTICE_S)
         self.client_listener.close()
+        closed_idle = 0
         while time.monotonic() < end_s:
-            for handler in [*self.client_listener.handlers]:
-                if handler.is_idle():
-                    handler.close()
+            closed_idle += self.client_listener.close_idle()
             if not self.client_listener.handlers:
                 break
             gevent.sleep(DRAIN_POLL_INTERVAL_S)
         self.failure_detector.update_local(state=LEFT_STATE)
-        log_event("stopped", counts=self.metrics.counts, greatest=self.metrics.max_values())
+        log_event(
+            "stopped",
+            counts=self.metrics.counts,
+            greatest=self.metrics.max_values(),
+            unanswered=self.client_listener.pending_requests(),
+            closed_idle=closed_idle,
+        )
         return 0
 
 
