Proxy: a drain that ends answers the requests still pending

Cause: the drain waited until 0.7 s before the end of the grace time and then let the process exit, whatever was pending.

Change: when the wait ends, DrainTimeout is raised where each pending request waits, and the proxy answers it: 504 if it may have run, 503 if it was never sent. Why it works: each request that was read now ends before the process does, however it waits; a response that has just arrived is not in the registry any more and is written whole. The wait for endpoints is as long as before.

--- a/flintreach/proxy/forwarding.py
+++ b/flintreach/proxy/forwarding.py
@@ -28,10 +28,12 @@
 from flintreach.proxy.endpoint import EndpointView
 from flintreach.proxy.exchange import Outcome
 from flintreach.proxy.hedging import Hedge, HedgedOutcome
+from flintreach.proxy.in_flight import DrainTimeout, InFlightRequests
 from flintreach.proxy.link_admission import MAX_WAIT_FRACTION, LinkAdmission
 from flintreach.proxy.metrics import (
     BUDGET_EXHAUSTED,
     CLIENT_DISCONNECTED,
+    DRAIN_TIMEOUTS,
     HEDGED_REQUESTS,
     LINK_ADMISSION_TIMEOUT,
     NO_ENDPOINT,
@@ -118,6 +120,9 @@
         metrics: receives event counts.
         load_aggregate: collects the loads that are reported to the controllers.
         mbps: bandwidth of this machine's link in megabits per second; 0 if unknown.
+
+    Attributes:
+        in_flight: the requests that are being forwarded.
     """
 
     def __init__(
@@ -135,6 +140,7 @@
         self.endpoint_client = EndpointClient(view, metrics, load_aggregate)
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.link_admission = LinkAdmission(mbps)
+        self.in_flight = InFlightRequests()
 
     def retry_budget(self, service: str) -> RetryBudget:
         """The retry budget of a service, created on first use."""
@@ -185,11 +191,16 @@
             self.metrics.count(NO_ROUTE)
             return error_response(404)
         request.idempotent = route.idempotent
+        routed = self.create_routed_request(request, route)
         try:
-            return self.forward_when_admitted(self.create_routed_request(request, route))
+            with self.in_flight.cancellable():
+                return self.forward_when_admitted(routed)
         except ClientDisconnected:
             self.metrics.count(CLIENT_DISCONNECTED)
             raise
+        except DrainTimeout:
+            self.metrics.count(DRAIN_TIMEOUTS)
+            return final_response(routed.final_status)
 
     def create_routed_request(self, request: Request, route: Route) -> RoutedRequest:
         """Choose the service for a request, and count the request towards its load and retry budget."""
@@ -336,7 +347,22 @@
         )
 
     def attempt_with_hedging(self, routed: RoutedRequest, endpoint: EndpointView) -> HedgedOutcome:
-        """Attempt the request at one endpoint, with a hedged attempt at a second one if that is allowed."""
+        """Attempt the request at one endpoint, with a hedged attempt at a second one if that is allowed.
+
+        Raises:
+            ClientDisconnected: the client has disconnected.
+            DrainTimeout: the drain has ended; `routed.final_status` tells whether the request may have run.
+        """
+        connections_before = len(routed.request.connections)
+        try:
+            return self.run_attempts(routed, endpoint)
+        except DrainTimeout:
+            if len(routed.request.connections) > connections_before:
+                routed.final_status = GATEWAY_TIMEOUT
+            raise
+
+    def run_attempts(self, routed: RoutedRequest, endpoint: EndpointView) -> HedgedOutcome:
+        """Run the attempts of `attempt_with_hedging`."""
         request = routed.request
         route = routed.route
         service = routed.service
--- a/flintreach/proxy/hedging.py
+++ b/flintreach/proxy/hedging.py
@@ -15,6 +15,7 @@
 from flintreach.proxy.caller import Caller, ClientDisconnected
 from flintreach.proxy.endpoint import EndpointView
 from flintreach.proxy.exchange import Outcome
+from flintreach.proxy.in_flight import DrainTimeout
 from flintreach.proxy.outcome import OutcomeKind
 
 # Time for which the slower of two attempts may continue after the other was answered: if it completes, its
@@ -60,7 +61,7 @@
 
         The hedged attempt does not cancel the first one, whose endpoint may be working and may still answer
         first.  Once one of them was answered, the other is cancelled after `SLOWER_ATTEMPT_GRACE_S`; when
-        the client disconnects, both are cancelled at once.
+        the client disconnects or the drain ends, both are cancelled at once.
 
         Args:
             first: the endpoint for the first attempt.
@@ -69,12 +70,13 @@
 
         Raises:
             ClientDisconnected: the client has disconnected.
+            DrainTimeout: the drain has ended.
         """
         self.start(first)
         try:
             with self.caller.calling_on_disconnect(self.wake):
                 return self.wait_for_outcome(select_hedge_endpoint, delay_s)
-        except ClientDisconnected:
+        except (ClientDisconnected, DrainTimeout):
             gevent.killall(self.attempts, block=False)
             raise
         finally:
--- a/flintreach/proxy/metrics.py
+++ b/flintreach/proxy/metrics.py
@@ -25,6 +25,8 @@
 LATE_CANCELLATION = "worked on after client left"
 # Requests whose client disconnected before the response.
 CLIENT_DISCONNECTED = "client left"
+# Requests that the proxy answered itself at the end of its drain, as they had no response yet.
+DRAIN_TIMEOUTS = "drain timeout"
 # Cancelled attempts.
 CANCELLED_ATTEMPTS = "abandoned"
 # Requests without a matching route.
--- a/flintreach/proxy/program.py
+++ b/flintreach/proxy/program.py
@@ -57,8 +57,10 @@
 DRAIN_NOTICE_S = 1.0
 DRAIN_POLL_INTERVAL_S = 0.05
 
-# Part of the grace time that is reserved for shutdown after the last response.
+# Part of the grace time that is left when the wait for endpoints ends, and the part of that in which the
+# requests still pending are answered.
 DRAIN_MARGIN_S = 0.7
+FINAL_RESPONSES_S = 0.4
 
 # Path of the metrics on the `ready` port.
 METRICS_PATH = "/metrics"
@@ -217,6 +219,8 @@
     def drain(self) -> int:
         """Stops accepting clients, and waits for pending responses up to the grace time.
 
+        Requests that have no response by then are answered by the proxy, within the grace time.
+
         Returns:
             Exit status of the process.
         """
@@ -228,12 +232,9 @@
             return 0
         gevent.sleep(DRAIN_NOTICE_S)
         self.client_listener.close()
-        closed_idle = 0
-        while time.monotonic() < end_s:
-            closed_idle += self.client_listener.close_idle()
-            if not self.client_listener.handlers:
-                break
-            gevent.sleep(DRAIN_POLL_INTERVAL_S)
+        closed_idle = self.close_idle_until(end_s)
+        self.forwarder.in_flight.cancel_all()
+        closed_idle += self.close_idle_until(time.monotonic() + FINAL_RESPONSES_S)
         self.failure_detector.update_local(state=LEFT_STATE)
         log_event(
             "stopped",
@@ -244,6 +245,23 @@
         )
         return 0
 
+    def close_idle_until(self, end_s: float) -> int:
+        """Closes idle connections until no connection is left.
+
+        Args:
+            end_s: monotonic time in seconds at which to return in any case.
+
+        Returns:
+            Number of connections closed.
+        """
+        closed = 0
+        while time.monotonic() < end_s:
+            closed += self.client_listener.close_idle()
+            if not self.client_listener.handlers:
+                break
+            gevent.sleep(DRAIN_POLL_INTERVAL_S)
+        return closed
+
 
 def main() -> None:
     """Runs the proxy with this machine's settings, and exits the process."""
--- a/tests/demo/test_cluster.py
+++ b/tests/demo/test_cluster.py
@@ -4,6 +4,7 @@
 condition holds; the time bound only keeps a broken program from hanging the tests.
 """
 
+import copy
 import json
 import os
 import shutil
@@ -13,18 +14,26 @@
 import unittest
 
 import gevent
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
 from typer.testing import CliRunner
 
 from flintreach.cli.app import build_app
 from flintreach.cli.register_values import describe
-from flintreach.config.settings import parse_address
+from flintreach.config.settings import TimingBounds, parse_address
 from flintreach.consensus.inspection import read_tables
 from flintreach.consensus.store import StoreError
 from flintreach.demo.cluster import CONTROLLER_ROLE, PEER_PORT, PROXY_ROLE, DemoCluster, Machine
-from flintreach.demo.configuration import CONFIGURATION
+from flintreach.demo.configuration import CONFIGURATION, HOST
 from flintreach.transport.peer_pool import PeerPool
 
 WAIT_BOUND_S = 120.0
+
+WORK_S = 0.05  # duration of a run at an endpoint
+
+# Grace time after SIGTERM by default, and a deadline of requests that is beyond it.
+GRACE_S = TimingBounds().grace_s
+LONG_DEADLINE_MS = 30_000
 KEY = {"X-Shard-Key": "40000"}
 
 
@@ -43,8 +52,11 @@
 
 
 def configuration(version: str) -> dict:
-    """Return the demo configuration with another version."""
-    return {**CONFIGURATION, "edition": version}
+    """Return the demo configuration with another version, and deadlines beyond the grace time."""
+    changed = copy.deepcopy({**CONFIGURATION, "edition": version})
+    for rule in changed["wickets"][0]["regulations"]:
+        rule["dispatch"]["deadline_ms"] = LONG_DEADLINE_MS
+    return changed
 
 
 def run_command(*arguments: str) -> tuple[int, str]:
@@ -120,6 +132,8 @@
             self.check_configuration_accepted_after_controller_loss()
         with self.subTest("a proxy answers the requests that it has read before it exits on SIGTERM"):
             self.check_proxy_drains_on_sigterm()
+        with self.subTest("a proxy answers requests to silent endpoints before it exits on SIGTERM"):
+            self.check_exiting_proxy_answers_requests_to_silent_endpoints()
         with self.subTest("acknowledged state is on the disks after all processes are killed"):
             self.check_acknowledged_state_is_durable()
 
@@ -157,6 +171,45 @@
         self.assertTrue(cluster.wait_for(lambda: proxy.process.poll() is not None, self.deadline))
         self.assertEqual(proxy.process.returncode, 0)
 
+    def check_exiting_proxy_answers_requests_to_silent_endpoints(self) -> None:
+        """Guards against an exit that closes the connections of pending requests without a response."""
+        cluster = self.cluster
+        proxy = cluster.with_role(PROXY_ROLE)[1]
+        for endpoint in cluster.endpoints:
+            endpoint.work_s = LONG_DEADLINE_MS / 1000
+        try:
+            requests = [gevent.spawn(self.write_status, proxy) for _ in range(4)]
+            cluster.wait_for(
+                lambda: sum(endpoint.running for endpoint in cluster.endpoints) == 4, self.deadline
+            )
+            terminated_at = time.monotonic()
+            proxy.process.send_signal(signal.SIGTERM)
+            self.assertEqual([request.get() for request in requests], [504] * 4)
+            self.assertGreater(time.monotonic() - terminated_at, GRACE_S * 5 / 6)
+            self.assertTrue(cluster.wait_for(lambda: proxy.process.poll() is not None, self.deadline))
+            self.assertLess(time.monotonic() - terminated_at, GRACE_S)
+            self.assertEqual(proxy.process.returncode, 0)
+        finally:
+            for endpoint in cluster.endpoints:
+                endpoint.work_s = WORK_S
+
+    def write_status(self, proxy: Machine) -> int | None:
+        """Send a non-repeatable request with a long deadline; return the status, None for no response."""
+        client = HTTPClient(
+            *parse_address(proxy.listen_addresses["front"]), network_timeout=LONG_DEADLINE_MS / 1000
+        )
+        headers = {
+            "Host": HOST,
+            "X-Try-Id": os.urandom(8).hex(),
+            "X-Time-Left-Ms": str(LONG_DEADLINE_MS),
+        }
+        try:
+            return client.request("POST", "/file/1", b"a report", headers).status_code
+        except (OSError, HTTPParseError):
+            return None
+        finally:
+            client.close()
+
     def check_acknowledged_state_is_durable(self) -> None:
         cluster = self.cluster
         for machine in cluster.machines:
