Test of cancelled attempts: wait until the endpoint has seen both ends

Cause: test_a_cancelled_attempt_does_not_affect_its_endpoint counted the connections that the endpoint had seen close at the very moment at which the proxy had closed them; the endpoint reads the close in a later turn of the same event loop.

Change: the count is taken once both are seen, or after CANCEL_TIMEOUT_S, the bound that the other tests of cancellation have. As strict: the same count, exactly, within the stated bound.

--- a/tests/proxy/test_hangups.py
+++ b/tests/proxy/test_hangups.py
@@ -309,6 +309,8 @@
         self.assertTrue(self.endpoints_are_healthy())
         self.assertEqual(self.fixture.forwarder.endpoint_client.average_latency_ns, latencies)
         self.assertEqual(sum(self.fixture.forwarder.retry_budget("desk").retries), 0)
+        # The endpoint sees the end of its connection in a later turn of the event loop.
+        becomes_true(lambda: len(self.fixture.cancelled()) >= 2, CANCEL_TIMEOUT_S)
         self.assertEqual(len(self.fixture.cancelled()), 2)
         for endpoint in self.fixture.endpoints:
             endpoint.script.clear()
