Proxy: a drain closes a connection after its last forwarded request

What callers saw: a client that pipelines safe requests gets a response to the first one only when its proxy drains. The others had been passed on to endpoints and are sent again.

Cause: each response of a draining proxy closed its connection, and the responses behind it were dropped. Evidence: the first response has `Connection: close` and the connection ends, while `closed_idle` stays 0.

Change: the closing response is the one to the last request that was forwarded; a draining proxy forwards no further one in parallel. The client's remaining data is discarded before the close by the greenlet that reads, whoever wrote the last response: a reset could lose it. Why it works: whether requests behind are forwarded is known when a response is written, and none is added while draining. A request that waits for the one before it is still not forwarded behind a close.

--- a/flintreach/proxy/client_listener.py
+++ b/flintreach/proxy/client_listener.py
@@ -73,9 +73,10 @@
     Attributes:
         source: buffered reader of the connection.
         pending: number of requests that have been read but not yet answered.
+        waiting: number of these that are not forwarded before the previous one is answered.
         last_answered: set when the most recent pipelined request has been answered.
         closing: whether no further requests are read or answered.
-        reader: the greenlet that reads requests.
+        lingering: whether data is discarded that the client sends after the last response.
         caller: the client, shared by all requests of the connection.
     """
 
@@ -91,15 +92,15 @@
         self.server = server
         self.source = ByteSource(sock)
         self.pending = 0
+        self.waiting = 0
         self.last_answered: Event | None = None
         self.closing = False
-        self.reader: gevent.Greenlet | None = None
+        self.lingering = False
         self.caller = Caller()
         self.caller.disconnect_callbacks.append(self.on_client_disconnected)
 
     def handle(self) -> None:
         """Serve requests until the connection ends; the server calls this in a greenlet per connection."""
-        self.reader = gevent.getcurrent()
         self.server.handlers.add(self)
         try:
             self.server.hangup_monitor.add(self.socket, self.caller)
@@ -114,6 +115,7 @@
             pass
         finally:
             self.wait_for_pipelined()
+            self.linger()
             self.server.handlers.discard(self)
             self.close()
 
@@ -203,6 +205,8 @@
         """Whether a request may be forwarded in parallel with others of the connection."""
         if request.method not in ("GET", "HEAD") or request.body or close:
             return False
+        if self.server.draining:
+            return False  # its client sends it again if the response before it closes the connection
         return self.server.forwarder.may_pipeline(request)
 
     def forward_sequentially(self, request: Request, close: bool) -> None:
@@ -224,7 +228,9 @@
         try:
             # Checked again, as a new configuration may have made the route non-idempotent since it was read.
             if previous_answered is not None and not self.server.forwarder.may_pipeline(request):
+                self.waiting += 1
                 previous_answered.wait()
+                self.waiting -= 1
             response = None if self.closing else self.forward(request)
             if previous_answered is not None:
                 previous_answered.wait()
@@ -267,7 +273,9 @@
             pass
 
     def send_response(self, request: Request | None, response: ClientResponse, close: bool) -> None:
-        """Send a response, and close the connection after it if required.
+        """Send a response, and end the connection's sending side after it if required.
+
+        A draining proxy closes a connection after the last response to the requests that it has forwarded.
 
         Args:
             request: the request; None if it could not be parsed.
@@ -277,20 +285,29 @@
         Raises:
             OSError: the connection failed.
         """
-        close = close or response.close or self.server.draining
+        is_last_forwarded = self.pending - self.waiting <= 1
+        close = close or response.close or (self.server.draining and is_last_forwarded)
         self.closing = self.closing or close
         head = response_head(response, request, close)
         self.socket.sendall(head if is_head(request) else head + response.body)
-        if not close:
+        if close:
+            self.socket.shutdown(socket.SHUT_WR)
+
+    def linger(self) -> None:
+        """After a response that closes the connection, discard what the client still sends for a while.
+
+        Closing a socket with unread data sends a reset, and the client may lose the response to it (RFC 9112,
+        section 9.6).
+        """
+        if not self.closing:
             return
-        # Closing a socket with unread data sends a reset, and the client may lose the response to it (RFC
-        # 9112, section 9.6).
-        self.socket.shutdown(socket.SHUT_WR)
-        if gevent.getcurrent() is self.reader:
+        self.lingering = True
+        try:
             with gevent.Timeout(LINGER_S, False):
                 while self.socket.recv(LINGER_READ_SIZE):
                     pass
-            self.close()
+        except OSError:
+            pass
 
     def on_client_disconnected(self) -> None:
         """Stop reading and forwarding requests when the client disconnects."""
@@ -298,7 +315,7 @@
 
     def is_idle(self) -> bool:
         """Whether no request is pending, including data that is still unread in the socket."""
-        if self.pending or self.source.buffer:
+        if self.pending or self.lingering or self.source.buffer:
             return False
         try:
             return not self.socket._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
--- a/tests/proxy/test_drain.py
+++ b/tests/proxy/test_drain.py
@@ -5,7 +5,8 @@
 
 import time
 import unittest
-from http.client import HTTPResponse
+from http.client import HTTPMessage, parse_headers
+from typing import NamedTuple
 from unittest import mock
 
 import gevent
@@ -31,6 +32,9 @@
 # After the drain, responses are in the client's socket already.
 RESPONSE_SENT_S = 0.2
 
+# Requests that a client sends on one connection before the first response.
+PIPELINED = 3
+
 # Far beyond the grace time.
 DEADLINE_MS = 60_000
 
@@ -76,26 +80,43 @@
     )
 
 
+class Response(NamedTuple):
+    """Status and headers of a response whose body was received completely."""
+
+    status: int
+    headers: HTTPMessage
+
+
 class Client:
-    """A client's connection to the proxy, on which one request after the other is sent."""
+    """A client's connection to the proxy, on which requests may be pipelined."""
 
     def __init__(self, address: tuple[str, int]) -> None:
         self.sock = socket.create_connection(address, timeout=GRACE_S + 5)
+        self.reader = self.sock.makefile("rb")
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.reader.close()
+        self.sock.close()
 
     def send(self, id: str, method: str, path: str) -> None:
         """Send one request."""
         lines = (f"{method} {path} HTTP/1.1", "Host: a", f"X-Try-Id: {id}", "X-Shard-Key: 7", "", "")
         self.sock.sendall("\r\n".join(lines).encode())
 
-    def receive(self, method: str = "GET") -> HTTPResponse | None:
+    def receive(self, method: str = "GET") -> Response | None:
         """Receive one complete response; None if the connection ends without one."""
-        response = HTTPResponse(self.sock, method=method)
         try:
-            response.begin()
-            response.read()
+            status_line = self.reader.readline().split()
+            if not status_line:
+                return None
+            headers = parse_headers(self.reader)
+            size = 0 if method == "HEAD" else int(headers["content-length"])
+            if len(self.reader.read(size)) < size:
+                return None
         except OSError:
             return None
-        return response
+        return Response(int(status_line[1]), headers)
 
 
 class DrainCase(unittest.TestCase):
@@ -121,7 +142,7 @@
     def connect(self) -> Client:
         """Open a client's connection to the proxy."""
         client = Client(self.listener.address)
-        self.addCleanup(client.sock.close)
+        self.addCleanup(client.close)
         return client
 
     def script(self, *acts: str) -> None:
@@ -226,5 +247,58 @@
             self.assertEqual(client.receive().status, 200)
 
 
+class PipelinedRequests(DrainCase):
+    def setUp(self) -> None:
+        super().setUp()
+        # Forwarded in parallel, and all held until a test releases them.
+        self.script(*["held"] * 2 * PIPELINED)
+        self.client = self.connect()
+        self.ids = [f"{number}" for number in range(PIPELINED)]
+        for id in self.ids:
+            self.client.send(id, "GET", "/s/1")
+            self.assertTrue(self.arrives(id))
+
+    def check_responses(self, status: int) -> None:
+        """Check that each request gets a response in order, and that the last one closes the connection."""
+        responses = [self.client.receive() for _ in self.ids]
+        self.assertNotIn(None, responses, "a request that was forwarded was lost")
+        self.assertEqual([response.headers["x-try-id"] for response in responses], self.ids)
+        self.assertEqual({response.status for response in responses}, {status})
+        closing = [response.headers["connection"] for response in responses]
+        self.assertEqual(closing, [None] * (PIPELINED - 1) + ["close"])
+        self.assertEqual(self.client.reader.read(), b"")
+
+    def release(self) -> None:
+        """Let the endpoints respond."""
+        for endpoint in self.endpoints:
+            endpoint.released.set()
+
+    def test_all_forwarded_requests_of_a_connection_are_answered_while_draining(self) -> None:
+        """Guards against a drain that closes a connection after the first of its pipelined responses."""
+        gevent.spawn_later(0.1, self.release)
+        drain = gevent.spawn(self.drain)
+        self.check_responses(200)
+        self.client.close()
+        self.assertLess(drain.get(), MIN_WAIT_S)
+
+    def test_all_forwarded_requests_of_a_connection_are_answered_when_the_drain_ends(self) -> None:
+        drain = gevent.spawn(self.drain)
+        self.check_responses(504)
+        self.client.close()
+        self.assertLess(drain.get(), GRACE_S)
+
+    def test_a_request_that_is_read_behind_others_while_draining_is_not_forwarded(self) -> None:
+        """Its client sends it again: it stands behind a response that closes the connection."""
+        drain = gevent.spawn(self.drain)
+        gevent.sleep(0.05)
+        self.client.send("behind", "GET", "/s/1")
+        gevent.sleep(0.05)
+        self.release()
+        self.check_responses(200)
+        self.client.close()
+        drain.get()
+        self.assertNotIn("behind", self.arrived())
+
+
 if __name__ == "__main__":
     unittest.main()
