--- a/review/harness2.py
+++ b/review/harness2.py
@@ -76,6 +76,27 @@
         "memory_mb": {"counter": 300, "sorting": 296},
         "link_mbps": {"counter": 1000.0, "sorting": 1000.0},
     },
+    "lagon-clause-pilot": {
+        "zones": {
+            "pl-caudan": "port-louis",
+            "cp-forest": "curepipe",
+            "pl-ebene": "port-louis",
+            "cp-floreal": "curepipe",
+        },
+        "timetable": COMMON_BOUNDS
+        | {
+            "contact_ms": 5000,
+            "receipt_ms": 6000,
+            "catch_up_s": 4,
+            "last_call_ms": 2500,
+            "edition_ms": 2500,
+            "stretch_ms": 10000,
+            "retry_slack": 60,
+            "cold_slack": 5,
+        },
+        "memory_mb": {"counter": 300, "sorting": 296},
+        "link_mbps": {"counter": 1000.0, "sorting": 1000.0},
+    },
     "lagon-clause-pilot-grown": {
         "zones": {
             "pl-caudan": "port-louis",
