--- a/review/harness2.py
+++ b/review/harness2.py
@@ -1,9 +1,9 @@
-"""A small deployment on loopback for the cases 4 to 8: platform, operator, endpoints and clients.
+"""A small deployment on loopback for the cases 4 to 7: platform, operator, endpoints and clients.
 
 The project's programs run as separate processes, started with the `run` lines of `deploy/system.toml`.
 Everything else is a stand-in written from the users' pages: `Platform` starts, stops and signals processes
-and makes the operator's calls, `Endpoint` behaves as "Endpoints", "Which endpoints there are" and "Keys that
-endpoints hold" say, `send` is a client's single try.
+and makes the operator's calls, `Endpoint` behaves as "Endpoints" and "Which endpoints there are" say, `send`
+is a client's single try.
 
 Times are seconds of the monotonic clock unless a name says otherwise.
 """
@@ -31,7 +31,6 @@
 import gevent
 import yaml
 from gevent import pywsgi
-from gevent.event import Event
 from gevent.lock import BoundedSemaphore
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
@@ -97,33 +96,9 @@
         "memory_mb": {"counter": 300, "sorting": 296},
         "link_mbps": {"counter": 1000.0, "sorting": 1000.0},
     },
-    "lagon-clause-pilot-grown": {
-        "zones": {
-            "pl-caudan": "port-louis",
-            "cp-forest": "curepipe",
-            "pl-ebene": "port-louis",
-            "cp-floreal": "curepipe",
-            "pl-bell-village": "port-louis",
-            "cp-midlands": "curepipe",
-        },
-        "timetable": COMMON_BOUNDS
-        | {
-            "contact_ms": 6000,
-            "receipt_ms": 8000,
-            "catch_up_s": 6,
-            "last_call_ms": 3000,
-            "edition_ms": 3000,
-            "stretch_ms": 12000,
-            "retry_slack": 174,
-            "cold_slack": 8,
-        },
-        "memory_mb": {"counter": 200, "sorting": 296},
-        "link_mbps": {"counter": 5.2, "sorting": 1000.0},
-    },
 }
 CLAUSES = ["base", "drain", "config", "cost", "retry", "recover", "places", "own"]
 REPORT_S = 1.5
-HOLD_CAP_MS = 10000
 HOST = "review.example"
 LIMITS = {"envelope_bytes": 16384, "contents_bytes": 67108864, "envelope_ms": 3000, "dwell_ms": 15000}
 
@@ -412,9 +387,9 @@
     }
 
 
-def depot(name, sharded=False):
+def depot(name):
     """A service of the configuration."""
-    plain = {
+    return {
         "name": name,
         "checkup": "/health",
         "berth_cap": 130,
@@ -423,7 +398,6 @@
         "cold_s": 3.0,
         "cold_per_s": 19.0,
     }
-    return plain | ({"sharded": True, "warmup_s": 3.0, "permits": "call"} if sharded else {})
 
 
 def configuration(edition, routes, depots):
@@ -439,60 +413,34 @@
 class Run:
     """One request at work at an endpoint; `ended` is None while it works."""
 
-    def __init__(self, try_id, key):
+    def __init__(self, try_id):
         self.try_id = try_id
-        self.key = key
-        self.began = time.monotonic()
         self.ended = None
 
 
-class Hold:
-    """Keys that an endpoint was granted; `released` is the arrival of a release, None before."""
-
-    def __init__(self, low, high, fence, until):
-        self.low = low
-        self.high = high
-        self.fence = fence
-        self.until = until
-        self.released = None
-
-
 class Endpoint:
     """One life of an endpoint of the users' service, written from the page on the wire.
 
-    It works on `slots` requests at a time, `work_s` seconds each (a number or a function), and queues `queue`
-    more; a full one answers 503 with `X-Not-Delivered`. With `sharded`, it runs a request only while it holds
-    the key, and else answers 421 with `X-Not-Delivered`; work that runs past the end of its hold ends with
-    500. A release stops new work on the keys at once and is answered when what ran on them has ended. For
-    `cold_s` seconds its beats say that it is cold. Errors of a call to `control` are not raised: the next
-    address is called.
+    It works on `slots` requests at a time, `work_s` seconds each, and queues `queue` more; a full one answers
+    503 with `X-Not-Delivered`, and a request for another endpoint gets 421. Errors of a call to `control` are
+    not raised: the next address is called.
     """
 
-    def __init__(
-        self, platform, service, address, zone, slots=2, queue=8, work_s=0.05, sharded=False, cold_s=0.0
-    ):
+    def __init__(self, platform, service, address, zone, slots=2, queue=8, work_s=0.05):
         self.id = f"i-{random.getrandbits(40):010x}"
         self.platform = platform
         self.record = platform.record
         self.service = service
         self.address = address
         self.zone = zone
-        self.work_s = work_s if callable(work_s) else lambda: work_s
-        self.sharded = sharded
+        self.work_s = work_s
         self.slots = BoundedSemaphore(slots)
         self.slot_count = slots
         self.queue = queue
         self.waiting = 0
-        self.cold_until = time.monotonic() + cold_s
-        self.state = "ready"
         self.call_seq = 0
         self.up = False
-        self.signed_off = False
         self.runs = []
-        self.holds = []
-        self.grants = []  # (arrival, low, high) of each grant that was taken
-        self.fences = []  # (low, high, fence) of each grant that was taken
-        self.changed = Event()
         host, _, port = address.rpartition(":")
         self.server = pywsgi.WSGIServer((host, int(port)), self.answer, log=None, error_log=None)
 
@@ -514,72 +462,48 @@
 
     def beat_forever(self):
         """Check in about every `report_ms`."""
-        while self.up and not self.signed_off:
+        while self.up:
             self.check_in()
             gevent.sleep(REPORT_S)
 
-    def call(self, path, body):
-        """Call one `control` address after the other until one answers 2xx; whether one did."""
-        for address in self.platform.control():
-            status, _, _ = send(address, "POST", path, {"Content-Type": "application/json"}, body, 1.0)
-            if 200 <= status < 300:
-                return True
-        return False
-
     def check_in(self):
-        """Send one beat; whether it was acknowledged."""
+        """Send one beat to one `control` address after the other until one answers 2xx; whether one did."""
         self.call_seq += 1
-        left_ms = max(0, int((self.cold_until - time.monotonic()) * 1000))
         beat = {
             "line": self.service,
             "addr": self.address,
             "zone": self.zone,
             "edition": "v1",
             "berths": self.slot_count,
-            "state": self.state,
-            "cold_left_ms": left_ms,
+            "state": "ready",
+            "cold_left_ms": 0,
             "call_seq": self.call_seq,
         }
-        return self.call(f"/v1/endpoints/{self.id}/check-in", json.dumps(beat).encode())
-
-    def sign_off(self):
-        """Sign off, sent again until it is acknowledged; whether it was."""
-        self.signed_off = True
-        for _ in range(20):
-            if self.call(f"/v1/endpoints/{self.id}/sign-off", b""):
+        path = f"/v1/endpoints/{self.id}/check-in"
+        headers = {"Content-Type": "application/json"}
+        for address in self.platform.control():
+            status, _, _ = send(address, "POST", path, headers, json.dumps(beat).encode(), 1.0)
+            if 200 <= status < 300:
                 return True
-            gevent.sleep(0.2)
         return False
 
     # What it is asked.
 
     def answer(self, environ, start):
         """Answer one request: the WSGI application of this endpoint."""
-        path, method = environ["PATH_INFO"], environ["REQUEST_METHOD"]
         try:
             body = environ["wsgi.input"].read()
         except OSError:  # the caller broke off: there is no request
             start("400 Bad Request", [("Connection", "close"), ("X-Not-Delivered", "1")])
             return [b""]
-        leaving = self.state != "ready" or self.signed_off
-        if method == "POST" and path in ("/v1/grant", "/v1/release"):
-            expected = environ.get("HTTP_X_EXPECT_ENDPOINT")
-            if expected not in (None, self.id):
-                status, headers, data = 421, [("X-Not-Delivered", "1")], b""
-            elif path == "/v1/grant":
-                status, headers, data = self.grant(json.loads(body)), [], b""
-            else:
-                status, headers, data = self.release(json.loads(body))
-        elif method == "GET" and path == "/health":
-            status, headers, data = (503 if leaving else 200), [], b""
+        if environ["REQUEST_METHOD"] == "GET" and environ["PATH_INFO"] == "/health":
+            status, headers, data = 200, [], b""
         else:
             status, headers, data = self.work(environ, len(body))
         headers = [*headers, ("X-Endpoint-Id", self.id), ("Content-Length", str(len(data)))]
         headers.append(("X-Endpoint-Load", f"{self.running()},{self.waiting},{self.slot_count}"))
         if environ.get("HTTP_X_TRY_ID"):
             headers.append(("X-Try-Id", environ["HTTP_X_TRY_ID"]))
-        if leaving:
-            headers.append(("Connection", "close"))
         start(f"{status} {http.client.responses.get(status, 'Status')}", headers)
         return [data]
 
@@ -587,86 +511,24 @@
         """How many requests it works on."""
         return sum(run.ended is None for run in self.runs[-64:])
 
-    def hold_of(self, key, now):
-        """The hold on a key that allows new work; None if there is none."""
-        for hold in self.holds:
-            if hold.low <= key <= hold.high and hold.released is None and now < hold.until:
-                return hold
-        return None
-
     def work(self, environ, size):
-        """Queue and run one request."""
+        """Queue and run one request; its status, headers and body."""
         try_id = environ.get("HTTP_X_TRY_ID", "")
         refused = [("X-Not-Delivered", "1")]
         if environ.get("HTTP_X_EXPECT_ENDPOINT") not in (None, self.id):
             return 421, refused, b""
-        key = None
-        if self.sharded:
-            key = int(environ.get("HTTP_X_SHARD_KEY", "-1"))
-            if self.hold_of(key, time.monotonic()) is None:
-                return 421, refused, b""
         if self.waiting >= self.queue:
             return 503, refused, b""
         self.waiting += 1
-        self.slots.acquire()
-        self.waiting -= 1
-        try:
-            hold = self.hold_of(key, time.monotonic()) if self.sharded else None
-            if self.sharded and hold is None:
-                return 421, refused, b""
-            run = Run(try_id, key)
+        with self.slots:
+            self.waiting -= 1
+            run = Run(try_id)
             self.runs.append(run)
-            self.record.line(f"{self.id}: runs {try_id} key {key} body {size}")
-            gevent.sleep(self.work_s())
+            self.record.line(f"{self.id}: runs {try_id} body {size}")
+            gevent.sleep(self.work_s)
             run.ended = time.monotonic()
-            self.changed.set()
-        finally:
-            self.slots.release()
-        if hold is not None and hold.released is None and run.ended > hold.until:
-            return 500, [], b"past the end of the hold"
         return 200, [("X-Postmark", f"{self.id}.{try_id}"), ("Content-Type", "text/plain")], b"done\n"
 
-    def grant(self, call):
-        """Take keys, unless a higher fence was seen on one of them; the status."""
-        now = time.monotonic()
-        low, high, fence = call["from_edition"], call["to_edition"], call["fence"]
-        if not 0 <= low <= high <= 65535 or not 0 < call["hold_ms"] <= HOLD_CAP_MS:
-            return 400
-        if any(seen > fence and first <= high and low <= last for first, last, seen in self.fences):
-            return 409
-        self.fences = [row for row in self.fences if row != (low, high, fence)] + [(low, high, fence)]
-        until = now + call["hold_ms"] / 1000
-        renewed = False
-        for hold in self.holds:
-            if (hold.low, hold.high, hold.fence) == (low, high, fence) and hold.released is None:
-                hold.until = until
-                renewed = True
-        if not renewed:
-            self.holds.append(Hold(low, high, fence, until))
-            self.grants.append((now, low, high))
-            self.record.line(f"{self.id}: granted {low}-{high} fence {fence} for {call['hold_ms']} ms")
-        return 200
-
-    def release(self, call):
-        """Stop new work on keys at once; answer when what ran on them has ended."""
-        low, high = call["from_edition"], call["to_edition"]
-        now = time.monotonic()
-        self.record.line(f"{self.id}: release of {low}-{high} arrived")
-        for hold in [*self.holds]:
-            if hold.released is not None or hold.high < low or hold.low > high:
-                continue
-            # The parts outside go on; the part inside ends.
-            for first, last in ((hold.low, low - 1), (high + 1, hold.high)):
-                if hold.low <= first <= last <= hold.high:
-                    self.holds.append(Hold(first, last, hold.fence, hold.until))
-            hold.low, hold.high = max(hold.low, low), min(hold.high, high)
-            hold.released = now
-        while any(run.ended is None and run.key is not None and low <= run.key <= high for run in self.runs):
-            self.changed.clear()
-            self.changed.wait(0.5)
-        self.record.line(f"{self.id}: release of {low}-{high} answered")
-        return 200, [("X-Handover", f"{random.getrandbits(64):016x}")], b""
-
 
 def main(folder, case):
     """Run a case: `case(record, trouble)` returns whether the rule held, or raises `CannotRun`."""
