A first start that is interrupted before its first voters goes on when the controllers return

What callers saw: no configuration is ever acknowledged and nothing is served, while all processes run.

Cause: a store that is created while first_run is false counts as one that replaces a lost disk, and no such store may decide on the first voters. If a majority of the seeds ends before its stores exist, nobody may decide. Whatever ends a process early leads there: kills, SIGTERM, a port in use, a disk that refuses.

If all seeds report, name the same seeds, and nobody knows an epoch, the disk votes as one of the first start: after 4 s if more disks are empty than may be lost at once, after 10 s if all known controllers have reported. First voters that haven't said that they may vote are chosen only beside a majority that has. The start is moved from VoterManager into a module of its own; the log tells what a start waits for.

--- a/flintreach/consensus/messages.py
+++ b/flintreach/consensus/messages.py
@@ -24,6 +24,7 @@
     VOTERS = "voters"  # send a configuration, and ask for the receiver's
     DISK_STATUS = "disk"
     SYNC_RECORDS = "sync"  # collect the endpoint records of a quorum
+    START_REPORT = "start"  # answered with `interrupted_start.StartReport`
 
 
 class PrepareRequest(msgspec.Struct, array_like=True, frozen=True):
--- a/flintreach/consensus/reconfiguration.py
+++ b/flintreach/consensus/reconfiguration.py
@@ -147,7 +147,10 @@
         return True
 
     def on_disk_status(self, connection: Any, epoch: int | None) -> DiskStatus | EpochMismatch | None:
-        """Report the disk's status in an epoch (None: in any epoch); None if this process has no disk."""
+        """Report the disk's status in an epoch (None: in any epoch).
+
+        None if this process has no disk, or one that may not vote on the first voters.
+        """
         register = self.register
         if epoch is not None:
             mismatch = register.check_epoch(epoch)
@@ -155,6 +158,8 @@
                 return mismatch
         if not register.store:
             return None
+        if not register.voters.epoch and not register.promises_known:
+            return None  # it may not vote yet, and first voters that can't vote would be no quorum
         caught_up = self.caught_up_epoch == register.voters.epoch
         return DiskStatus(
             register.store.incarnation,
--- a/flintreach/consensus/store.py
+++ b/flintreach/consensus/store.py
@@ -25,6 +25,7 @@
 INCARNATION_FACT = "life"
 VOTING_FACT = "voting"
 RECORDS_COMPLETE_FACT = "books"  # whether the endpoint records on this disk are complete
+RESUMED_FACT = "resumed"  # the disk was created after the first start, and resumed that one
 FORCED_FACT = "forced"  # an operator forced a configuration, see `recovery.py`
 YES = "1"
 NO = "0"
@@ -60,6 +61,11 @@
         raise StoreError(f"{path}: written in format {facts.get(FORMAT_FACT)}, expected {FORMAT}")
 
 
+def was_created_later(facts: dict[str, str]) -> bool:
+    """Whether a disk was created after the first start, so that it may replace one that was lost."""
+    return facts[VOTING_FACT] != YES or RESUMED_FACT in facts
+
+
 class Write(NamedTuple):
     """A pending write; `result` is set to whether it was committed."""
 
@@ -78,6 +84,7 @@
         slots: the register's slots at start-up, by key.
         facts: facts at start-up, by name.
         endpoint_rows: encoded endpoint records at start-up, by id.
+        created_later: whether the disk was created after the first start, see `interrupted_start`.
     """
 
     def __init__(self, folder: str, node: str, first_run: bool) -> None:
@@ -105,6 +112,7 @@
         self.endpoint_rows: dict[str, bytes] = dict(self.query(SELECT_ENDPOINTS))
         self.incarnation = self.facts[INCARNATION_FACT]
         self.voting = self.facts[VOTING_FACT] == YES
+        self.created_later = was_created_later(self.facts)
         self.writer = gevent.spawn(self.run)
 
     def connect(self) -> sqlite3.Connection:
--- a/flintreach/consensus/voting_process.py
+++ b/flintreach/consensus/voting_process.py
@@ -5,7 +5,7 @@
 layer, `acceptor_service.py` answers for this process's disk and `register.py` proposes changes.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from flintreach.consensus.acceptor import Acceptor
@@ -17,7 +17,7 @@
     decode_epoch_mismatch,
 )
 from flintreach.consensus.quorum import Address, Voters, VotersRow
-from flintreach.consensus.store import VOTING_FACT, YES, Store
+from flintreach.consensus.store import RECORDS_COMPLETE_FACT, RESUMED_FACT, VOTING_FACT, YES, Store
 from flintreach.transport.peer_pool import PeerPool
 
 EPOCH_ATTEMPTS = 3  # attempts to send a request to a process that is in a different epoch each time
@@ -220,6 +220,25 @@
             self.update_voting()
             return True
 
+    def resume_first_start(self, seeds: Iterable[Address]) -> bool:
+        """Let this disk vote on the first voters as if it had been created at the first start.
+
+        Args:
+            seeds: the addresses of the disks that decide.
+
+        Returns:
+            Whether that is persisted.
+        """
+        voters = Voters(0, tuple((seed, "") for seed in sorted(seeds)))
+        facts = {VOTING_FACT: YES, RECORDS_COMPLETE_FACT: YES, RESUMED_FACT: YES}
+        with self.adopt_lock:
+            if self.voters.epoch or not self.store or not self.store.persist({}, facts | voters.to_facts()):
+                return False
+            self.voters = voters
+            self.acceptor.voting = True
+            self.promises_known = True
+            return True
+
     def is_new_voter(self, voters: Voters) -> bool:
         """Whether a configuration adds this disk as a voter, so that it has not promised anything yet."""
         if self.store is None or not self.voters.epoch:
--- a/flintreach/controller/endpoint_service.py
+++ b/flintreach/controller/endpoint_service.py
@@ -146,6 +146,10 @@
         unrecorded = REGISTRY_COMPLETE if self.store.voting else REGISTRY_INCOMPLETE
         return self.store.facts.get(REGISTRY_COMPLETE_FACT, unrecorded) == REGISTRY_COMPLETE
 
+    def mark_registry_complete(self) -> None:
+        """Note that this disk, which records so already, lacks nothing: none was ever confirmed."""
+        self.registry_complete = True
+
     # Publication and local storage.
 
     def publish(self, endpoint_ids: Iterable[str]) -> bool:
--- a/flintreach/controller/voter_management.py
+++ b/flintreach/controller/voter_management.py
@@ -1,8 +1,9 @@
 """Management of the register's voter set by one controller.
 
-Covers bootstrap of the first voter set, catch-up of disks that do not vote, membership changes, operators'
-replacement requests and the handover before this process ends. `flintreach.consensus.voter_selection` decides
-which configuration should follow the current one; `flintreach.consensus.reconfiguration` carries it out.
+Covers catch-up of disks that do not vote, membership changes, operators' replacement requests and the
+handover before this process ends; `flintreach.controller.voter_bootstrap` covers the start.
+`flintreach.consensus.voter_selection` decides which configuration should follow the current one;
+`flintreach.consensus.reconfiguration` carries it out.
 """
 
 import dataclasses
@@ -14,13 +15,14 @@
 from flintreach.consensus.quorum import Address, Voters
 from flintreach.consensus.reconfiguration import Reconfiguration
 from flintreach.consensus.register import Register
+from flintreach.consensus.store import FORCED_FACT
 from flintreach.consensus.voter_selection import (
     FailureTolerance,
     VoterCandidate,
-    choose_initial_voters,
     choose_next_voters,
     plan_operator_change,
 )
+from flintreach.controller.voter_bootstrap import VoterBootstrap
 from flintreach.membership.member_list import LEFT, SUSPECTED, Member, MemberList
 from flintreach.transport.peer_connection import PeerConnection
 from flintreach.transport.peer_pool import PeerPool
@@ -31,8 +33,6 @@
 LEAVING_KIND = "leaving"  # [[ip, port] of a process about to end, seconds for which the announcement holds]
 REPLACE_KIND = "replace"  # [[ip, port] to remove or None, [ip, port] to add or None]
 DISK_KIND = "disk"  # an epoch or None; answered by `Reconfiguration.on_disk_status`
-VOTERS_KIND = "voters"  # a configuration or None; answered by `Register.on_voters`
-FORCED_FACT = "forced"  # configuration that an operator forced while this process was stopped
 
 # Answers to an operator's replacement request; any other text is the reason for a rejection.
 DONE = ""
@@ -40,7 +40,7 @@
 UNKNOWN = "not known yet: look at the voters"
 
 CHECK_INTERVAL_S = 0.25
-FAST_CHECK_INTERVAL_S = 0.05  # during bootstrap and during the handover
+FAST_CHECK_INTERVAL_S = 0.05  # during the handover
 CATCH_UP_INTERVAL_S = 2.0  # between two catch-ups of a disk that does not vote
 PROPOSER_STAGGER_S = 1.5  # extra delay per rank: proposers that start together preempt each other's ballots
 UNSEEN_VOTER_GRACE_S = 5.0  # after the start; then voters that are missing from the membership count as dead
@@ -57,6 +57,10 @@
         """Copy a quorum's endpoint records to this disk; return whether that succeeded."""
         ...
 
+    def mark_registry_complete(self) -> None:
+        """Note that this disk lacks no endpoint record, as none has ever been confirmed."""
+        ...
+
 
 class VoterPlane(Protocol):
     """The part of `control_plane.ControlPlane` that `VoterManager` uses."""
@@ -83,6 +87,7 @@
 
     Attributes:
         reconfiguration: carries out the changes.
+        bootstrap: learns or decides the first voter set.
         leaving: address -> time on the monotonic clock until which the process counts as about to end.
         alive_disks: addresses of the disks that were alive at the last check.
         alive_changed_at: when that set last changed or was not reliable.
@@ -110,6 +115,7 @@
         self.logged_epoch = -1
         self.catch_up_at = 0.0
         self.target: Voters | None = None
+        self.bootstrap = VoterBootstrap(self)
         self.peer_pool.handlers |= {LEAVING_KIND: self.on_leaving, REPLACE_KIND: self.on_replace}
 
     def _collect_endpoints(self) -> bool:
@@ -122,7 +128,7 @@
         settings = self.plane.node.rules.losses
         return FailureTolerance(settings.machines, settings.zones, settings.regions)
 
-    def _stable_s(self) -> float:
+    def stable_s(self) -> float:
         """Return the seconds since the set of alive disks last changed."""
         return self.runtime.now() - self.alive_changed_at
 
@@ -217,49 +223,13 @@
             disk if address in group else self._with_status(disk, "", True) for address, disk in disks.items()
         ]
 
-    # Bootstrap.
+    # Start.
 
     def discover(self) -> None:
         """Learn the voter set from other controllers, or decide on the first one with them."""
-        self._persist_seeds()
-        store = self.register.store
-        forced = store.facts.get(FORCED_FACT) if store else None
-        if forced:
-            log_event("voters_forced", what=forced)
-        may_decide = self.plane.first_run or (store is not None and self.register.promises_known)
-        while not self.register.voters.epoch:
-            self.runtime.sleep(FAST_CHECK_INTERVAL_S)
-            self._discover_once(may_decide)
+        self.bootstrap.run()
         self.log_voters()
 
-    def _persist_seeds(self) -> None:
-        """On the first start, persist the seeds as the acceptors that decide on the first voters.
-
-        The settings may name other seeds after a restart, and those must not decide a second time.
-        """
-        register = self.register
-        if not self.plane.first_run or register.voters.sets:
-            return
-        register.voters = Voters(0, tuple(sorted((seed, "") for seed in self.plane.seeds())))
-        while register.store and not register.store.persist({}, register.voters.to_facts()):
-            self.runtime.sleep(CHECK_INTERVAL_S)
-
-    def _discover_once(self, may_decide: bool) -> None:
-        """Adopt the latest voter set known to others; if there is none, decide on it once it is due."""
-        disks = {address: disk for address, disk in self.disks().items() if disk.alive}
-        others = [address for address in disks if address != self.address]
-        answers = self.peer_pool.gather(others, VOTERS_KIND, None, bool, QUERY_TIMEOUT_S) if others else []
-        if answers:
-            known = [Voters.from_row(row) for _, row in answers]
-            self.register.adopt(max(known, key=lambda voters: voters.epoch))
-            return
-        if not may_decide or not choose_initial_voters(disks.values(), self.losses, self._stable_s()):
-            return
-        # An earlier decision prevails: the seeds' disks hold it, and `propose` adopts it.
-        target = choose_initial_voters(self.query_alive_disks(disks), self.losses, self._stable_s())
-        if target:
-            self.reconfiguration.propose(target)
-
     def log_voters(self) -> None:
         """Log the current voter set."""
         voters = self.register.voters
@@ -325,7 +295,7 @@
             self.reconfiguration.leave_joint()
             return
         disks = self.query_disks(self.disks())
-        target = choose_next_voters(voters, disks, self.losses, self._stable_s())
+        target = choose_next_voters(voters, disks, self.losses, self.stable_s())
         if target and self.reconfiguration.propose(target):
             self.reconfiguration.leave_joint()
 
--- a/flintreach/simulation/disk.py
+++ b/flintreach/simulation/disk.py
@@ -17,6 +17,7 @@
     RECORDS_COMPLETE_FACT,
     VOTING_FACT,
     YES,
+    was_created_later,
 )
 from flintreach.simulation.process import Process, Waiter
 from flintreach.simulation.scheduler import NS_PER_MS, Simulation
@@ -87,6 +88,7 @@
         slots: the register's slots at the start.
         facts: facts at the start.
         endpoint_rows: encoded endpoint records at the start, by id.
+        created_later: whether the disk was created after the first start.
     """
 
     def __init__(self, process: Process, disk: Disk, node: str, first_run: bool) -> None:
@@ -109,6 +111,7 @@
         self.endpoint_rows = {**disk.endpoint_rows}
         self.incarnation = self.facts[INCARNATION_FACT]
         self.voting = self.facts[VOTING_FACT] == YES
+        self.created_later = was_created_later(self.facts)
 
     def create_facts(self, node: str, first_run: bool) -> None:
         """Write the facts of a new disk; only on the first start is it known not to have lost any data."""
--- a/tests/consensus/test_messages.py
+++ b/tests/consensus/test_messages.py
@@ -50,7 +50,7 @@
             self.assertEqual(encode(struct), encode(plain), plain)
 
     def test_kinds_and_verdicts_keep_the_values_of_earlier_releases(self) -> None:
-        kinds = ["prepare", "accept", "slots", "stamps", "value", "voters", "disk", "sync"]
+        kinds = ["prepare", "accept", "slots", "stamps", "value", "voters", "disk", "sync", "start"]
         self.assertEqual(decode(encode([*MessageKind])), kinds)
         self.assertEqual(decode(encode([*Verdict])), ["promise", "accepted", "refused", "mute"])
 
