Logs and figures tell how a start goes on, why a program ends, and what it uses of its limits

Change: the line `start` tells the stage that a start has reached and what it waits for, when that changes; `ended` and `stopped` (stage `start`) tell why a program ends; exceptions that nothing handles are counted and logged at the first, tenth, hundredth time, where gevent printed each traceback. Metrics of a proxy and `show status` have memory and descriptors beside the limits of the settings. SIGTERM is handled from the first line of the program on.

--- a/flintreach/__main__.py
+++ b/flintreach/__main__.py
@@ -5,8 +5,10 @@
 """
 
 import importlib
+import os
 import signal
 import sys
+from types import FrameType
 
 # Program name in deploy files -> package.
 PROGRAMS = {
@@ -18,6 +20,17 @@
 }
 
 
+# Written without the log, which has not been imported yet.
+STOPPED_AT_START = b'{"message_type":"stopped","stage":"start"}\n'
+STDOUT_DESCRIPTOR = 1
+
+
+def stop_at_start(number: int, frame: FrameType | None) -> None:
+    """End the process on a SIGTERM before the program handles it: nothing has been promised to anybody."""
+    os.write(STDOUT_DESCRIPTOR, STOPPED_AT_START)
+    os._exit(0)
+
+
 def run_program(package: str) -> None:
     """Run the controller or the proxy; they and the pilot service import nothing from each other.
 
@@ -27,6 +40,7 @@
     # SIGHUP must not end the program before its handler is installed; `settings.watch` detects changes of the
     # settings file that are made until then.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, stop_at_start)
     importlib.import_module(f"flintreach.{package}.program").main()
 
 
--- a/flintreach/controller/control_plane.py
+++ b/flintreach/controller/control_plane.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from flintreach.common.keys import CONFIGURATION_KEY, EVACUATION_KEY, ROLE_CONTROLLER
+from flintreach.common.lifecycle import UnhandledErrors
 from flintreach.config.configuration import Configuration
 from flintreach.config.routing import Routes
 from flintreach.config.settings import ProcessSettings
@@ -46,6 +47,7 @@
         serving: whether API calls may be answered, i.e. start-up recovery is complete.
         updates: the versioned state that this controller disseminates.
         routes: routes of the current configuration; None until one is known.
+        unhandled_errors: exceptions that nothing handled.
         refusals: calls answered with 503 because they could not be confirmed, by reason.
     """
 
@@ -79,6 +81,7 @@
         self.updates = VersionedStore(self.runtime.now)
         self.register = Register(peer_pool, Voters.from_facts(store.facts if store else {}), store)
         self.serving = False
+        self.unhandled_errors = UnhandledErrors()
         self.quorum_contact = QuorumContact()
         self.suspend_detector = SuspendDetector(self.runtime.now())
         self.refusals: dict[str, RefusalCount] = {}
--- a/flintreach/controller/program.py
+++ b/flintreach/controller/program.py
@@ -9,6 +9,7 @@
 from gevent.event import Event
 
 from flintreach.common.keys import ROLE_CONTROLLER
+from flintreach.common.lifecycle import StartLog, StartStage, UnhandledErrors, run_to_end
 from flintreach.common.log import log_event
 from flintreach.config import settings
 from flintreach.config.settings import parse_address
@@ -41,10 +42,18 @@
             StoreError: the disk is unusable.
         """
         self.node = node
+        self.start_log = StartLog()
+        self.start_log.enter(StartStage.SETTINGS_READ, first_run=node.identity.first_run)
+        self.unhandled_errors = UnhandledErrors()
+        self.unhandled_errors.install()
         sender = node.identity
         address = node.peer_address(PEER_PORT_INDEX)
         self.peer_pool = PeerPool(address)
         store = Store(sender.store_dir, sender.node_name, sender.first_run) if sender.store_dir else None
+        if store:
+            self.start_log.enter(
+                StartStage.STORE_OPENED, votes=store.voting, created_later=store.created_later
+            )
         member = Member(
             sender.node_name,
             ROLE_CONTROLLER,
@@ -60,6 +69,7 @@
         self.plane = ControlPlane(
             node, self.peer_pool, store, self.failure_detector.member_list, self.seeds, self.start_serving
         )
+        self.plane.unhandled_errors = self.unhandled_errors
         self.peer_pool.handlers[SHOW_MESSAGE] = self.on_show
         self.servers: list[pywsgi.WSGIServer] = []
         self.stopping = Event()
@@ -91,6 +101,7 @@
     def run(self) -> int:
         """Run until SIGTERM; return the exit status."""
         self.peer_pool.start()
+        self.start_log.enter(StartStage.LISTENING)
         self.failure_detector.start()
         gevent.signal_handler(signal.SIGTERM, self.stopping.set)
         gevent.signal_handler(signal.SIGHUP, self.reload_settings)
@@ -119,4 +130,4 @@
     except (settings.SettingsError, StoreError) as error:
         print(f"flintreach: {error}", file=sys.stderr)
         sys.exit(EXIT_UNUSABLE)
-    sys.exit(controller.run())
+    sys.exit(run_to_end(controller.run))
--- a/flintreach/controller/repair.py
+++ b/flintreach/controller/repair.py
@@ -10,6 +10,7 @@
 from typing import Any, Protocol
 
 from flintreach.common.keys import VOTERS_KEY
+from flintreach.common.lifecycle import StartLog, StartStage
 from flintreach.consensus.quorum import Address, Voters
 from flintreach.consensus.register import Register
 from flintreach.controller.operator_requests import OperatorRequests
@@ -96,6 +97,7 @@
         """Discover the voters, then compare them forever; start serving after the first comparison."""
         self.voter_manager.discover()
         self.runtime.spawn(self.voter_manager.run)
+        start_log = StartLog()
         is_starting = True
         while True:
             timeout_s = START_COMPARE_TIMEOUT_S if is_starting else COMPARE_TIMEOUT_S
@@ -105,6 +107,7 @@
             if is_compared and is_starting:
                 is_starting = not self.plane.start_serving()
             if is_starting:
+                start_log.enter(StartStage.WAITING_FOR_QUORUM, compared=is_compared)
                 self.runtime.sleep(START_RETRY_S)
             else:
                 self.runtime.sleep(SWEEP_S * self.runtime.rng.uniform(*SWEEP_JITTER))
--- a/flintreach/controller/views.py
+++ b/flintreach/controller/views.py
@@ -8,6 +8,8 @@
 from typing import Any, Protocol
 
 from flintreach.common.keys import KEY_RANGES_PREFIX, SLICE_KEY_PREFIX
+from flintreach.common.lifecycle import UnhandledErrors
+from flintreach.common.resources import open_descriptors, resident_bytes
 from flintreach.config.routing import Routes
 from flintreach.config.settings import ProcessSettings
 from flintreach.consensus.register import Register
@@ -20,6 +22,7 @@
 from flintreach.transport.runtime import Runtime
 
 NS_PER_MS = 1_000_000
+BYTES_PER_MB = 1 << 20
 MEMBER_STATE_NAMES = ("alive", "suspected", "dead", "left")  # by `Member.state`
 
 Row = dict[str, Any]
@@ -48,6 +51,7 @@
     serving: bool
     routes: Routes | None
     refusals: Mapping[str, RefusalCount]
+    unhandled_errors: UnhandledErrors
 
     @property
     def voter_addresses(self) -> list[tuple[str, int]]:
@@ -149,6 +153,11 @@
             "contact_s": round(plane.quorum_contact_age(), 1),
             "contacts_s": " ".join(f"{ip} {now - asked_at:.1f}" for (ip, _), asked_at in contacts),
             "evacuated": " ".join(sorted(plane.evacuated_zones())),
+            "memory_mb": resident_bytes() // BYTES_PER_MB,
+            "memory_limit_mb": plane.node.identity.limits.memory_mb,
+            "descriptors": open_descriptors(),
+            "descriptor_limit": plane.node.identity.limits.file_handles,
+            "unhandled": plane.unhandled_errors.total,
         }
     ]
 
--- a/flintreach/controller/voter_bootstrap.py
+++ b/flintreach/controller/voter_bootstrap.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from flintreach.common.lifecycle import StartLog, StartStage
 from flintreach.common.log import log_event
 from flintreach.consensus.interrupted_start import Evidence, StartReport, examine_reports
 from flintreach.consensus.messages import MessageKind
@@ -35,7 +36,7 @@
         report_due_at: when the others are asked for their reports next.
         evidence: what the latest reports show.
         evidence_since: since when they have shown it.
-        logged_state: the state last written to the log.
+        start_log: tells what the start waits for.
     """
 
     def __init__(self, manager: "VoterManager") -> None:
@@ -48,7 +49,7 @@
         self.report_due_at = manager.runtime.now() + REPORT_INTERVAL_S
         self.evidence = Evidence.NONE
         self.evidence_since = manager.runtime.now()
-        self.logged_state: dict[str, Any] = {}
+        self.start_log = StartLog()
         self.peer_pool.handlers |= {MessageKind.START_REPORT: self.on_start_report}
 
     def run(self) -> None:
@@ -106,7 +107,7 @@
         """Propose the first voters if there are enough disks."""
         manager = self.manager
         if not choose_initial_voters(disks.values(), manager.losses, manager.stable_s()):
-            self._log_state("waiting for disks", disks=len(disks))
+            self.start_log.enter(StartStage.WAITING_FOR_DISKS, disks=len(disks))
             return
         # An earlier decision prevails: the seeds' disks hold it, and `propose` adopts it.
         target = self._choose_voters(manager.query_alive_disks(disks))
@@ -150,7 +151,7 @@
         if evidence != self.evidence:
             self.evidence = evidence
             self.evidence_since = now
-        self._log_state("waiting for the voters", evidence=evidence.value)
+        self.start_log.enter(StartStage.WAITING_FOR_VOTERS, evidence=evidence.value)
         if evidence == Evidence.NONE or now - self.evidence_since < STABLE_S[evidence]:
             return
         if self.register.resume_first_start(own.seeds):
@@ -172,10 +173,3 @@
             except msgspec.ValidationError:
                 continue
         return reports
-
-    def _log_state(self, stage: str, **reason: Any) -> None:
-        """Log what the start waits for, when that changes."""
-        state = {"stage": stage, **reason}
-        if state != self.logged_state:
-            self.logged_state = state
-            log_event("start", **state)
--- a/flintreach/proxy/metrics.py
+++ b/flintreach/proxy/metrics.py
@@ -7,6 +7,7 @@
 """
 
 from bisect import bisect_left
+from collections.abc import Mapping
 
 NS_PER_S = 1_000_000_000
 
@@ -50,6 +51,24 @@
 # Attempts rejected because the endpoint had reached its connection limit.
 AT_CONNECTION_LIMIT = "full"
 
+# Gauges, with their help texts.
+RESIDENT_MEMORY = "resident_memory_bytes"
+MEMORY_LIMIT = "memory_limit_bytes"
+OPEN_DESCRIPTORS = "open_descriptors"
+DESCRIPTOR_LIMIT = "descriptor_limit"
+CLIENT_CONNECTIONS = "client_connections"
+UNHANDLED_ERRORS = "unhandled_errors"
+GAUGE_HELP = {
+    RESIDENT_MEMORY: "resident memory of the process",
+    MEMORY_LIMIT: "memory_mb of the settings",
+    OPEN_DESCRIPTORS: "open descriptors of the process",
+    DESCRIPTOR_LIMIT: "file_handles of the settings",
+    CLIENT_CONNECTIONS: "open connections of clients",
+    UNHANDLED_ERRORS: "exceptions since the start that nothing handled",
+}
+
+NO_GAUGES: Mapping[str, float] = {}
+
 # Histograms, with their help texts.
 VIEW_AGE = "view_age_at_send_seconds"
 SEND_TIME = "send_seconds"
@@ -117,9 +136,20 @@
         """Returns the maximum of each histogram in seconds, by name."""
         return {name: round(histogram.max_ns / NS_PER_S, 3) for name, histogram in self.histograms.items()}
 
-    def text(self) -> str:
-        """Returns all metrics in the exposition format."""
+    def text(self, gauges: Mapping[str, float] = NO_GAUGES) -> str:
+        """Returns all metrics in the exposition format.
+
+        Args:
+            gauges: current values, by name in `GAUGE_HELP`.
+        """
         lines = []
+        for name, value in gauges.items():
+            metric = PREFIX + name
+            lines += [
+                f"# HELP {metric} {GAUGE_HELP[name]}",
+                f"# TYPE {metric} gauge",
+                f"{metric} {value:.0f}",
+            ]
         for name, count in sorted(self.counts.items()):
             metric = f"{PREFIX}{name.replace(' ', '_')}_total"
             lines += [f"# TYPE {metric} counter", f"{metric} {count}"]
--- a/flintreach/proxy/program.py
+++ b/flintreach/proxy/program.py
@@ -15,7 +15,9 @@
 from gevent.event import Event
 
 from flintreach.common.keys import ROLE_CONTROLLER, ROLE_PROXY
+from flintreach.common.lifecycle import StartLog, StartStage, UnhandledErrors, run_to_end
 from flintreach.common.log import log_event
+from flintreach.common.resources import open_descriptors, resident_bytes
 from flintreach.config import settings
 from flintreach.config.configuration import RequestLimits
 from flintreach.config.settings import parse_address
@@ -28,12 +30,21 @@
 from flintreach.proxy.balancing import FleetPosition, SubsetIndex
 from flintreach.proxy.client_listener import ClientListener
 from flintreach.proxy.forwarding import Forwarder
-from flintreach.proxy.metrics import Metrics
+from flintreach.proxy.metrics import (
+    CLIENT_CONNECTIONS,
+    DESCRIPTOR_LIMIT,
+    MEMORY_LIMIT,
+    OPEN_DESCRIPTORS,
+    RESIDENT_MEMORY,
+    UNHANDLED_ERRORS,
+    Metrics,
+)
 from flintreach.proxy.view import RoutingView
 from flintreach.transport.peer_pool import PeerPool
 
 NS_PER_S = 1_000_000_000
 MS_PER_S = 1000
+BYTES_PER_MB = 1 << 20
 
 # Offsets of the programs' ports within a machine's `spare_ports`.
 PROXY_PORT_INDEX = 1
@@ -71,6 +82,10 @@
 
     def __init__(self, node: settings.ProcessSettings) -> None:
         self.node = node
+        self.start_log = StartLog()
+        self.start_log.enter(StartStage.SETTINGS_READ, first_run=node.identity.first_run)
+        self.unhandled_errors = UnhandledErrors()
+        self.unhandled_errors.install()
         sender = node.identity
         address = node.peer_address(PROXY_PORT_INDEX)
         self.peer_pool = PeerPool(address)
@@ -158,12 +173,24 @@
         """WSGI application on the `ready` port: serves the readiness check and the metrics."""
         if environ["PATH_INFO"] == METRICS_PATH:
             start_response("200 OK", [("Content-Type", "text/plain; version=0.0.4")])
-            return [self.metrics.text().encode()]
+            return [self.metrics.text(self.gauges()).encode()]
         is_ready = self.is_ready and not self.client_listener.draining
         status = "200 OK" if is_ready else "503 Service Unavailable"
         start_response(status, [("Content-Type", "text/plain")])
         return [b"ready\n" if is_ready else b"not ready\n"]
 
+    def gauges(self) -> dict[str, float]:
+        """Returns current values for the metrics, by name."""
+        limits = self.node.identity.limits
+        return {
+            RESIDENT_MEMORY: resident_bytes(),
+            MEMORY_LIMIT: limits.memory_mb * BYTES_PER_MB,
+            OPEN_DESCRIPTORS: open_descriptors(),
+            DESCRIPTOR_LIMIT: limits.file_handles,
+            CLIENT_CONNECTIONS: len(self.client_listener.handlers),
+            UNHANDLED_ERRORS: self.unhandled_errors.total,
+        }
+
     def report_load(self) -> None:
         """Sends load reports to the controllers periodically."""
         while True:
@@ -187,6 +214,7 @@
             Exit status of the process.
         """
         self.peer_pool.start()
+        self.start_log.enter(StartStage.LISTENING)
         self.failure_detector.start()
         self.relay.start()
         self.ready_listener.start()
@@ -206,8 +234,10 @@
     def become_ready(self) -> None:
         """Accepts clients once a configuration was received and updates are sufficiently fresh."""
         while not self.stopping.is_set():
-            if self.view.routes is not None and self.relay.age() < READY_MAX_UPDATE_AGE_S:
+            stage = self.pending_stage()
+            if stage is None:
                 break
+            self.start_log.enter(stage)
             gevent.sleep(READY_POLL_INTERVAL_S)
         if self.stopping.is_set():
             return
@@ -216,6 +246,15 @@
         self.failure_detector.update_local(ready=True)
         log_event("ready", edition=self.view.routes.number, endpoints=len(self.view.endpoints))
 
+    def pending_stage(self) -> StartStage | None:
+        """Returns what the start waits for; None if clients can be served."""
+        if self.view.routes is None:
+            peers = self.failure_detector.member_list.alive(ROLE_CONTROLLER)
+            return StartStage.WAITING_FOR_CONFIGURATION if peers else StartStage.WAITING_FOR_PEERS
+        if self.relay.age() >= READY_MAX_UPDATE_AGE_S:
+            return StartStage.WAITING_FOR_UPDATES
+        return None
+
     def drain(self) -> int:
         """Stops accepting clients, and waits for pending responses up to the grace time.
 
@@ -272,4 +311,4 @@
     except settings.SettingsError as error:
         print(f"flintreach: {error}", file=sys.stderr)
         sys.exit(2)
-    sys.exit(Proxy(node).run())
+    sys.exit(run_to_end(lambda: Proxy(node).run()))
