A program that starts waits for its address, disk and settings instead of ending

What callers saw: processes that end by themselves, several times within seconds, and, at a first start, a system that never serves. On 13 real processes: with their ports in use for 2 s 13 processes exited with status 1, five of them twice; with a data directory that can't be used for 2 s three controllers exited two or three times; with an empty settings file all exited with status 2; after the first two no configuration was acknowledged in 20 s.

Cause: whatever a start met was taken for permanent. An address in use and an error of SQLite or of the folder were not handled at all; in the control plane's and the proxy's late listeners the exception ended a greenlet and the process stayed up without listening.

Content that can't be used (another node's, another format, no database) still ends the program at once, with one line and status 2.

--- a/flintreach/config/settings.py
+++ b/flintreach/config/settings.py
@@ -8,6 +8,7 @@
 """
 
 import os
+import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -17,6 +18,8 @@
 PATH_VARIABLE = "FLINTREACH_NODE_FILE"
 DEFAULT_PATH = "/etc/flintreach/node.yaml"
 WATCH_INTERVAL_S = 2.0
+START_TIMEOUT_S = 3.0
+START_RETRY_INTERVAL_S = 0.1
 
 
 class SettingsError(ValueError):
@@ -211,6 +214,31 @@
         raise SettingsError(f"{path}: {reason}") from None
 
 
+def load_at_start(sleep: Callable[[float], object], timeout_s: float = START_TIMEOUT_S) -> ProcessSettings:
+    """Load the settings of this process, waiting for a file that is being replaced.
+
+    Args:
+        sleep: suspends the caller for some seconds.
+        timeout_s: how long to wait for settings that can be used, in seconds.
+
+    Raises:
+        SettingsError: the settings can't be used, and could not during all that time.
+    """
+    # Imported here for the reason that `reload` gives.
+    from flintreach.common.lifecycle import StartLog, StartStage
+
+    deadline = time.monotonic() + timeout_s
+    log = StartLog()
+    while True:
+        try:
+            return load()
+        except SettingsError as error:
+            if time.monotonic() >= deadline:
+                raise
+            log.enter(StartStage.WAITING_FOR_SETTINGS, error=str(error))
+        sleep(START_RETRY_INTERVAL_S)
+
+
 def reload(current: ProcessSettings) -> ProcessSettings:
     """Load the settings again; return `current` if the file is invalid, so that the process keeps running."""
     # Imported here, since importing it starts the log on stdout, where the command `check` writes its result.
--- a/flintreach/consensus/store.py
+++ b/flintreach/consensus/store.py
@@ -13,11 +13,13 @@
 from gevent.event import AsyncResult, Event
 from gevent.threadpool import ThreadPool
 
+from flintreach.common.lifecycle import StartLog, StartStage
 from flintreach.consensus.acceptor import Ballot, Slot
 
 FORMAT = "1"
 FILE_NAME = "cairn.db"  # named by earlier releases
 MAX_WAL_BYTES = 4 << 20
+LOAD_RETRY_INTERVAL_S = 0.25
 
 # Names of facts; they are stored data and must stay compatible with earlier releases.
 FORMAT_FACT = "format"
@@ -75,6 +77,29 @@
     result: AsyncResult
 
 
+class Content(NamedTuple):
+    """An open database and what it holds; see `Store` for the fields."""
+
+    connection: sqlite3.Connection
+    slots: dict[str, Slot]
+    facts: dict[str, str]
+    endpoint_rows: dict[str, bytes]
+
+
+def read_content(connection: sqlite3.Connection) -> Content:
+    """Read a whole database.
+
+    Raises:
+        sqlite3.Error: the database can't be read.
+    """
+    slots = {}
+    for key, promised_n, promised_by, accepted_n, accepted_by, value in connection.execute(SELECT_SLOTS):
+        slots[key] = Slot(Ballot(promised_n, promised_by), Ballot(accepted_n, accepted_by), value)
+    facts = dict(connection.execute(SELECT_FACTS))
+    endpoint_rows = dict(connection.execute(SELECT_ENDPOINTS))
+    return Content(connection, slots, facts, endpoint_rows)
+
+
 class Store:
     """The database of one process.
 
@@ -88,7 +113,7 @@
     """
 
     def __init__(self, folder: str, node: str, first_run: bool) -> None:
-        """Open or create the database.
+        """Open or create the database; waits while the disk can't be used.
 
         Args:
             folder: folder of the database; created if it doesn't exist.
@@ -97,24 +122,60 @@
                 data.
 
         Raises:
-            StoreError: the disk has another format or belongs to another node.
+            StoreError: the disk has another format, belongs to another node, or its content can't be read.
         """
-        os.makedirs(folder, exist_ok=True)
         self.path = os.path.join(folder, FILE_NAME)
         self.node = node
         self.pool = ThreadPool(1)
         self.pending: list[Write] = []
         self.write_requested = Event()
         self.broken = False
-        self.connection: sqlite3.Connection = self.pool.apply(self.open, (first_run,))
-        self.slots = self.read_slots()
-        self.facts: dict[str, str] = dict(self.query(SELECT_FACTS))
-        self.endpoint_rows: dict[str, bytes] = dict(self.query(SELECT_ENDPOINTS))
+        content = self.load_when_usable(first_run)
+        self.connection: sqlite3.Connection = content.connection
+        self.slots = content.slots
+        self.facts = content.facts
+        self.endpoint_rows = content.endpoint_rows
         self.incarnation = self.facts[INCARNATION_FACT]
         self.voting = self.facts[VOTING_FACT] == YES
         self.created_later = was_created_later(self.facts)
         self.writer = gevent.spawn(self.run)
 
+    def load_when_usable(self, first_run: bool) -> "Content":
+        """Load the database, and wait while the disk can't be used.
+
+        Raises:
+            StoreError: see `open`.
+        """
+        log = StartLog()
+        while True:
+            content = self.pool.apply(self.try_to_load, (first_run,))
+            if isinstance(content, Content):
+                return content
+            if isinstance(content, StoreError):
+                raise content
+            log.enter(StartStage.WAITING_FOR_STORE, path=self.path, error=str(content))
+            gevent.sleep(LOAD_RETRY_INTERVAL_S)
+
+    def try_to_load(self, first_run: bool) -> "Content | Exception":
+        """Load the database, or return the error. Runs on the writer thread.
+
+        `sqlite3.OperationalError` is a disk that is full, busy or fails; other errors of the library concern
+        the content.
+        """
+        connection: sqlite3.Connection | None = None
+        try:
+            os.makedirs(os.path.dirname(self.path), exist_ok=True)
+            connection = self.connect()
+            self.initialize(connection, first_run)
+            return read_content(connection)
+        except (OSError, sqlite3.OperationalError, StoreError) as error:
+            failure: Exception = error
+        except sqlite3.DatabaseError as error:
+            failure = StoreError(f"{self.path}: {error}")
+        if connection is not None:
+            connection.close()
+        return failure
+
     def connect(self) -> sqlite3.Connection:
         """Open the database file and apply the pragmas."""
         connection = sqlite3.connect(self.path, isolation_level=None, check_same_thread=False)
@@ -131,25 +192,29 @@
             connection.execute(f"pragma {pragma}")
         return connection
 
-    def open(self, first_run: bool) -> sqlite3.Connection:
-        """Open the database, initialize it if it is empty, and check its format and owner.
+    def initialize(self, connection: sqlite3.Connection, first_run: bool) -> None:
+        """Initialize the database if it is empty, and check its format and owner.
 
         Raises:
             StoreError: the disk has another format or belongs to another node.
         """
-        connection = self.connect()
         connection.executescript(SCHEMA)
         facts = dict(connection.execute(SELECT_FACTS))
         if not facts:
             self.create_facts(connection, first_run)
-            return connection
-        check_format(self.path, facts)
-        if facts.get(NODE_FACT) != self.node:
-            raise StoreError(f"{self.path}: belongs to {facts.get(NODE_FACT)}, this is {self.node}")
-        return connection
+        else:
+            check_format(self.path, facts)
+            if facts.get(NODE_FACT) != self.node:
+                raise StoreError(f"{self.path}: belongs to {facts.get(NODE_FACT)}, this is {self.node}")
+        # The file's entry has to be durable; an earlier start may have ended before this.
+        folder = os.open(os.path.dirname(self.path), os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
 
     def create_facts(self, connection: sqlite3.Connection, first_run: bool) -> None:
-        """Write the facts of a new disk, and sync the folder so that the file's entry is durable."""
+        """Write the facts of a new disk."""
         # An empty disk may vote at once only at the first start; later, an empty disk has lost its data.
         lost_nothing = YES if first_run else NO
         facts = {
@@ -162,20 +227,6 @@
         connection.execute("begin immediate")
         connection.executemany("insert into facts values (?, ?)", facts.items())
         connection.execute("commit")
-        folder = os.open(os.path.dirname(self.path), os.O_RDONLY)
-        os.fsync(folder)
-        os.close(folder)
-
-    def query(self, statement: str) -> list[tuple]:
-        """Run a select on the writer thread and return all rows."""
-        return self.pool.apply(lambda: self.connection.execute(statement).fetchall())
-
-    def read_slots(self) -> dict[str, Slot]:
-        """Read the register's slots from disk."""
-        slots = {}
-        for key, promised_n, promised_by, accepted_n, accepted_by, value in self.query(SELECT_SLOTS):
-            slots[key] = Slot(Ballot(promised_n, promised_by), Ballot(accepted_n, accepted_by), value)
-        return slots
 
     def persist(
         self,
--- a/flintreach/controller/program.py
+++ b/flintreach/controller/program.py
@@ -20,6 +20,7 @@
 from flintreach.controller.views import Row
 from flintreach.membership.failure_detector import FailureDetector
 from flintreach.membership.member_list import LEFT, Member
+from flintreach.transport.listening import bind_when_available
 from flintreach.transport.peer_connection import PeerConnection
 from flintreach.transport.peer_pool import PeerPool
 
@@ -87,10 +88,9 @@
         self.failure_detector.update_local(ready=True)
         for listener, names in LISTENER_CALLS:
             if listener in self.node.network.listen_addresses:
-                server = listen(
-                    parse_address(self.node.network.listen_addresses[listener]), self.plane, names
-                )
-                server.start()
+                address = parse_address(self.node.network.listen_addresses[listener])
+                server = listen(address, self.plane, names)
+                bind_when_available(server.start, address)
                 self.servers.append(server)
         log_event("ready", endpoints=len(self.plane.registry.records))
 
@@ -121,13 +121,18 @@
         self.plane.node = node
 
 
-def main() -> None:
-    """Run a controller with the settings of this machine."""
-    # All addresses are numeric, so the memory of a resolver thread pool would be wasted.
-    gevent.config.resolver = "block"
+def run_controller() -> int:
+    """Run a controller with the settings of this machine; return the exit status."""
     try:
-        controller = ControllerProcess(settings.load())
+        controller = ControllerProcess(settings.load_at_start(gevent.sleep))
     except (settings.SettingsError, StoreError) as error:
         print(f"flintreach: {error}", file=sys.stderr)
-        sys.exit(EXIT_UNUSABLE)
-    sys.exit(run_to_end(controller.run))
+        return EXIT_UNUSABLE
+    return controller.run()
+
+
+def main() -> None:
+    """Run a controller, and exit the process."""
+    # All addresses are numeric, so the memory of a resolver thread pool would be wasted.
+    gevent.config.resolver = "block"
+    sys.exit(run_to_end(run_controller))
--- a/flintreach/membership/failure_detector.py
+++ b/flintreach/membership/failure_detector.py
@@ -15,6 +15,7 @@
     Member,
     MemberList,
 )
+from flintreach.transport.listening import bind_when_available
 from flintreach.transport.runtime import Runtime, RuntimeInterface
 
 MAX_DATAGRAM_BYTES = 65536
@@ -59,13 +60,14 @@
         self.open()
 
     def open(self) -> None:
-        """Bind the socket to this process's address.
+        """Bind the socket to this process's address, once it is available.
 
         Raises:
-            OSError: the address is not available.
+            OSError: the address can't be bound; see `listening.bind_when_available`.
         """
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.sock.bind(self.member_list.local_member.address)
+        address = self.member_list.local_member.address
+        bind_when_available(lambda: self.sock.bind(address), address)
 
     def start(self) -> None:
         """Start receiving and probing."""
--- a/flintreach/proxy/program.py
+++ b/flintreach/proxy/program.py
@@ -40,6 +40,7 @@
     Metrics,
 )
 from flintreach.proxy.view import RoutingView
+from flintreach.transport.listening import bind_when_available
 from flintreach.transport.peer_pool import PeerPool
 
 NS_PER_S = 1_000_000_000
@@ -73,6 +74,8 @@
 DRAIN_MARGIN_S = 0.7
 FINAL_RESPONSES_S = 0.4
 
+EXIT_UNUSABLE = 2  # the settings are unusable
+
 # Path of the metrics on the `ready` port.
 METRICS_PATH = "/metrics"
 
@@ -217,7 +220,7 @@
         self.start_log.enter(StartStage.LISTENING)
         self.failure_detector.start()
         self.relay.start()
-        self.ready_listener.start()
+        bind_when_available(self.ready_listener.start, self.ready_listener.address)
         gevent.signal_handler(signal.SIGTERM, self.stopping.set)
         gevent.signal_handler(signal.SIGHUP, self.reload_settings)
         gevent.spawn(settings.watch, self.reload_settings, gevent.sleep)
@@ -241,7 +244,7 @@
             gevent.sleep(READY_POLL_INTERVAL_S)
         if self.stopping.is_set():
             return
-        self.client_listener.start()
+        bind_when_available(self.client_listener.start, self.client_listener.address)
         self.is_ready = True
         self.failure_detector.update_local(ready=True)
         log_event("ready", edition=self.view.routes.number, endpoints=len(self.view.endpoints))
@@ -302,13 +305,22 @@
         return closed
 
 
-def main() -> None:
-    """Runs the proxy with this machine's settings, and exits the process."""
-    # All addresses are numeric, so the resolver's thread pool would only use memory.
-    gevent.config.resolver = "block"
+def run_proxy() -> int:
+    """Runs a proxy with this machine's settings.
+
+    Returns:
+        Exit status of the process.
+    """
     try:
-        node = settings.load()
+        node = settings.load_at_start(gevent.sleep)
     except settings.SettingsError as error:
         print(f"flintreach: {error}", file=sys.stderr)
-        sys.exit(2)
-    sys.exit(run_to_end(lambda: Proxy(node).run()))
+        return EXIT_UNUSABLE
+    return Proxy(node).run()
+
+
+def main() -> None:
+    """Runs a proxy, and exits the process."""
+    # All addresses are numeric, so the resolver's thread pool would only use memory.
+    gevent.config.resolver = "block"
+    sys.exit(run_to_end(run_proxy))
--- a/flintreach/transport/peer_pool.py
+++ b/flintreach/transport/peer_pool.py
@@ -7,6 +7,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from flintreach.transport.listening import bind_when_available
 from flintreach.transport.peer_connection import Address, ConnectionClosed, MessageHandlers, PeerConnection
 from flintreach.transport.runtime import LockInterface, Runtime, RuntimeInterface
 from flintreach.transport.traffic_meter import TrafficMeter
@@ -43,9 +44,13 @@
         self.dial_locks: dict[Address, LockInterface] = {}
 
     def start(self) -> None:
-        """Start listening for connections of other processes."""
+        """Start listening for connections of other processes, once the address is available.
+
+        Raises:
+            OSError: the address can't be bound; see `listening.bind_when_available`.
+        """
         self.server = StreamServer(self.address, self.serve, backlog=LISTEN_BACKLOG)
-        self.server.start()
+        bind_when_available(self.server.start, self.address)
 
     def serve(self, sock: socket.socket, address: Address) -> None:
         """Serve a connection dialled by another process until it is closed."""
--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -52,6 +52,26 @@
                 settings.parse(text)
 
 
+class Start(unittest.TestCase):
+    def test_settings_that_are_being_replaced_are_waited_for(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, "node.yaml")
+            with open(path, "w", encoding="utf-8"):
+                pass
+
+            def replace(seconds: float) -> None:
+                with open(path, "w", encoding="utf-8") as file:
+                    file.write(VALID_SETTINGS)
+
+            with mock.patch.dict(os.environ, {settings.PATH_VARIABLE: path}):
+                self.assertEqual(settings.load_at_start(replace).identity.node_name, "n")
+
+    def test_settings_that_stay_unusable_are_an_error(self) -> None:
+        with mock.patch.dict(os.environ, {settings.PATH_VARIABLE: "/nowhere/node.yaml"}):
+            with self.assertRaisesRegex(settings.SettingsError, "/nowhere/node.yaml"):
+                settings.load_at_start(mock.Mock(), timeout_s=0.0)
+
+
 class Watch(unittest.TestCase):
     def count_reloads(self, change: bool) -> int:
         """Load settings, change the file if `change` is set, and return how often `watch` calls back."""
--- a/tests/consensus/test_store.py
+++ b/tests/consensus/test_store.py
@@ -8,6 +8,8 @@
 from contextlib import contextmanager
 from pathlib import Path
 
+import gevent
+
 from flintreach.consensus.acceptor import Ballot, Slot
 from flintreach.consensus.store import FILE_NAME, MAX_WAL_BYTES, Store, StoreError
 
@@ -97,6 +99,18 @@
         with self.assertRaisesRegex(StoreError, "format 0"):
             Store(str(self.folder / "a"), "n1", False)
 
+    def test_a_folder_that_can_not_be_used_yet_is_waited_for(self) -> None:
+        path = self.folder / "a"
+        path.write_bytes(b"")
+        gevent.spawn_later(0.1, path.unlink)
+        with opened_store(path, first_run=True) as store:
+            self.assertTrue(store.voting)
+
+    def test_a_file_that_is_no_database_is_rejected(self) -> None:
+        (self.folder / FILE_NAME).write_bytes(b"x" * 9000)
+        with self.assertRaisesRegex(StoreError, "not a database"):
+            Store(str(self.folder), "n1", True)
+
 
 class TestWriting(StoreInFolder):
     def test_a_failed_write_is_reported_and_the_next_one_succeeds(self) -> None:
