A heartbeat that can't be sent on is rejected, and loops go on after an exception

Cause: a heartbeat was checked for types alone. A count beyond 64 bits was kept and published; from then on a controller could not encode its answer to any process that subscribes to updates. An address that is no address ended the application of an update, a `berths` of 0 ended the placement loop for good by a division, and a name as address would have been looked up in the event loop. Loops that last as long as a process ended by their first exception.

Change: figures have bounds and the address a pattern, in the heartbeat's own type, so controllers check what peers forward as well; what an earlier release stored or published is raised to a capacity of 1, or skipped and counted by proxies. Loops run through Runtime.spawn_loop and run_loop, which report an exception and start the loop again. A late listener that can't bind its address ends the process with an error instead of leaving it deaf.

--- a/flintreach/config/settings.py
+++ b/flintreach/config/settings.py
@@ -18,6 +18,7 @@
 PATH_VARIABLE = "FLINTREACH_NODE_FILE"
 DEFAULT_PATH = "/etc/flintreach/node.yaml"
 WATCH_INTERVAL_S = 2.0
+MAX_PORT = 65535
 START_TIMEOUT_S = 3.0
 START_RETRY_INTERVAL_S = 0.1
 
@@ -158,13 +159,16 @@
     """Split an address of the form HOST:PORT.
 
     Raises:
-        ValueError: the part after the last colon is not a number.
+        ValueError: the part after the last colon is not a port number.
 
     >>> parse_address("10.1.0.13:8166")
     ('10.1.0.13', 8166)
     """
-    host, _, port = text.rpartition(":")
-    return host, int(port)
+    host, _, port_text = text.rpartition(":")
+    port = int(port_text)
+    if not 0 <= port <= MAX_PORT:
+        raise ValueError(f"{text}: no port number")
+    return host, port
 
 
 def parse(text: str, name: str = "settings") -> ProcessSettings:
--- a/flintreach/controller/control_plane.py
+++ b/flintreach/controller/control_plane.py
@@ -105,7 +105,7 @@
             self.load_placement.key_ranges.run,
             self.load_placement.run,
         ):
-            self.runtime.spawn(loop)
+            self.runtime.spawn_loop(loop)
 
     def start_serving(self) -> bool:
         """Recover the endpoint registry from a quorum, then start answering API calls.
--- a/flintreach/controller/program.py
+++ b/flintreach/controller/program.py
@@ -3,6 +3,7 @@
 import signal
 import sys
 import time
+from functools import partial
 
 import gevent
 from gevent import pywsgi
@@ -23,6 +24,7 @@
 from flintreach.transport.listening import bind_when_available
 from flintreach.transport.peer_connection import PeerConnection
 from flintreach.transport.peer_pool import PeerPool
+from flintreach.transport.runtime import run_loop
 
 PEER_PORT_INDEX = 0  # index, among the spare ports, of the port for peer traffic
 SHOW_MESSAGE = "show"  # message kind of `flintreach show`
@@ -74,6 +76,7 @@
         self.peer_pool.handlers[SHOW_MESSAGE] = self.on_show
         self.servers: list[pywsgi.WSGIServer] = []
         self.stopping = Event()
+        self.listen_error: OSError | None = None
 
     def seeds(self) -> list[Address]:
         """Return the seed addresses from the current settings."""
@@ -84,30 +87,49 @@
         return sorted({*self.seeds(), *self.plane.register.voters.members()})
 
     def start_serving(self) -> None:
-        """Announce this controller as ready and start the API listeners."""
+        """Start the API listeners, and announce this controller as ready; end the process if that fails."""
+        try:
+            self.start_listeners()
+        except OSError as error:
+            self.listen_error = error
+            self.stopping.set()
+            return
         self.failure_detector.update_local(ready=True)
+        log_event("ready", endpoints=len(self.plane.registry.records))
+
+    def start_listeners(self) -> None:
+        """Start the API listeners.
+
+        Raises:
+            OSError: an address can't be bound; see `listening.bind_when_available`.
+        """
         for listener, names in LISTENER_CALLS:
             if listener in self.node.network.listen_addresses:
                 address = parse_address(self.node.network.listen_addresses[listener])
                 server = listen(address, self.plane, names)
                 bind_when_available(server.start, address)
                 self.servers.append(server)
-        log_event("ready", endpoints=len(self.plane.registry.records))
 
     def on_show(self, connection: PeerConnection, view: str) -> list[Row] | None:
         """Answer a request of `flintreach show`."""
         return self.plane.show(view)
 
     def run(self) -> int:
-        """Run until SIGTERM; return the exit status."""
+        """Run until SIGTERM; return the exit status.
+
+        Raises:
+            OSError: an address can't be bound.
+        """
         self.peer_pool.start()
         self.start_log.enter(StartStage.LISTENING)
         self.failure_detector.start()
         gevent.signal_handler(signal.SIGTERM, self.stopping.set)
         gevent.signal_handler(signal.SIGHUP, self.reload_settings)
-        gevent.spawn(settings.watch, self.reload_settings, gevent.sleep)
+        gevent.spawn(run_loop, partial(settings.watch, self.reload_settings, gevent.sleep))
         self.plane.start()
         self.stopping.wait()
+        if self.listen_error is not None:
+            raise self.listen_error
         # Voting is handed over before the departure is announced to the other members.
         self.plane.repair.voter_manager.hand_over()
         self.failure_detector.update_local(state=LEFT)
--- a/flintreach/controller/repair.py
+++ b/flintreach/controller/repair.py
@@ -83,6 +83,7 @@
         published: key -> ballot of the value last published.
         lagging: key -> oldest ballot, for each key on which a voter lagged in the last sweep.
         voter_manager: manages the voter set.
+        manages_voters: whether the loop of `voter_manager` has been started.
     """
 
     def __init__(self, plane: RepairPlane) -> None:
@@ -92,13 +93,16 @@
         self.published: dict[str, Ballot] = {}
         self.lagging: dict[str, Ballot] = {}
         self.voter_manager = VoterManager(plane)
+        self.manages_voters = False
 
     def sweep(self) -> None:
         """Discover the voters, then compare them forever; start serving after the first comparison."""
         self.voter_manager.discover()
-        self.runtime.spawn(self.voter_manager.run)
+        if not self.manages_voters:
+            self.manages_voters = True
+            self.runtime.spawn_loop(self.voter_manager.run)
         start_log = StartLog()
-        is_starting = True
+        is_starting = not self.plane.serving
         while True:
             timeout_s = START_COMPARE_TIMEOUT_S if is_starting else COMPARE_TIMEOUT_S
             is_compared = self.voter_manager.reconfiguration.start_voting() and self.compare(
--- a/flintreach/dissemination/relay.py
+++ b/flintreach/dissemination/relay.py
@@ -11,6 +11,7 @@
 """
 
 from collections.abc import Callable, Iterable, Sequence
+from functools import partial
 from typing import Any, NamedTuple
 
 from flintreach.dissemination.relay_tree import PARENT_COUNT
@@ -263,10 +264,10 @@
 
     def start(self) -> None:
         """Start expiring tombstones and, below the root, start subscribing to parents."""
-        self.runtime.spawn(self.expire)
+        self.runtime.spawn_loop(self.expire)
         if self.parents:
             for slot in range(PARENT_COUNT):
-                self.runtime.spawn(self.maintain_parent, slot)
+                self.runtime.spawn_loop(partial(self.maintain_parent, slot))
 
     def expire(self) -> None:
         """Periodically remove expired tombstones until the process exits."""
--- a/flintreach/endpoints/registry.py
+++ b/flintreach/endpoints/registry.py
@@ -17,7 +17,7 @@
 
 from dataclasses import dataclass
 from enum import IntEnum, StrEnum
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -33,6 +33,15 @@
 SLOW_START_TOLERANCE_NS = 200 * NS_PER_MS
 NOT_STORED = -1  # less than every rank
 
+# Ranges of a heartbeat's figures.  Beyond them it is malformed, and could not be sent on to other processes.
+MIN_CAPACITY = 1  # of a record; placement divides by capacities
+MAX_CAPACITY = 1_000_000
+MAX_SEQUENCE = (1 << 63) - 1
+MAX_WARMING_UP_MS = 24 * 3600 * 1000
+OCTET_PATTERN = r"(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])"
+PORT_PATTERN = r"(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}|[1-9][0-9]{0,3})"
+ADDRESS_PATTERN = rf"^({OCTET_PATTERN}\.){{3}}{OCTET_PATTERN}:{PORT_PATTERN}$"  # a name would need a look-up
+
 
 class EndpointState(StrEnum):
     """State of an endpoint, derived from its rank and liveness. The values are sent, stored and displayed."""
@@ -66,7 +75,7 @@
         service: name of the service that the endpoint belongs to.
         address: "ip:port" on which the endpoint accepts requests.
         zone: failure domain of the endpoint.
-        capacity: number of requests that the endpoint serves concurrently.
+        capacity: number of requests that the endpoint serves concurrently; 0 counts as 1.
         state: "ready" or "closing".
         sequence: the endpoint's message counter; a lower one marks a reordered message.
         software_version: software version that the endpoint runs.
@@ -74,13 +83,15 @@
     """
 
     service: str = msgspec.field(name="line")
-    address: str = msgspec.field(name="addr")
+    address: Annotated[str, msgspec.Meta(pattern=ADDRESS_PATTERN)] = msgspec.field(name="addr")
     zone: str
-    capacity: int = msgspec.field(name="berths")
+    capacity: Annotated[int, msgspec.Meta(ge=0, le=MAX_CAPACITY)] = msgspec.field(name="berths")
     state: str
-    sequence: int = msgspec.field(name="call_seq")
+    sequence: Annotated[int, msgspec.Meta(ge=0, le=MAX_SEQUENCE)] = msgspec.field(name="call_seq")
     software_version: str = msgspec.field(name="edition", default="")
-    warming_up_left_ms: float = msgspec.field(name="cold_left_ms", default=0)
+    warming_up_left_ms: Annotated[float, msgspec.Meta(le=MAX_WARMING_UP_MS)] = msgspec.field(
+        name="cold_left_ms", default=0
+    )
 
     @property
     def rank(self) -> DrainRank:
@@ -216,7 +227,7 @@
             service=row.service,
             address=row.address,
             zone=row.zone,
-            capacity=row.capacity,
+            capacity=max(MIN_CAPACITY, row.capacity),
             software_version=row.software_version,
             rank=row.known_rank,
             sequence=row.sequence,
@@ -247,7 +258,7 @@
             service=value["line"],
             address=value["addr"],
             zone=value["zone"],
-            capacity=value["berths"],
+            capacity=max(MIN_CAPACITY, value["berths"]),
             software_version=value["edition"],
             rank=rank,
             sequence=sequence,
@@ -324,7 +335,7 @@
         record.service = heartbeat.service
         record.address = heartbeat.address
         record.zone = heartbeat.zone
-        record.capacity = heartbeat.capacity
+        record.capacity = max(MIN_CAPACITY, heartbeat.capacity)
         record.software_version = heartbeat.software_version
         record.rank = max(record.rank, heartbeat.rank)
         record.sequence = heartbeat.sequence
--- a/flintreach/membership/failure_detector.py
+++ b/flintreach/membership/failure_detector.py
@@ -71,8 +71,8 @@
 
     def start(self) -> None:
         """Start receiving and probing."""
-        self.runtime.spawn(self.listen)
-        self.runtime.spawn(self.run)
+        self.runtime.spawn_loop(self.listen)
+        self.runtime.spawn_loop(self.run)
 
     def send_datagram(self, data: bytes, address: Address) -> None:
         """Send one datagram; drop it on a socket error."""
--- a/flintreach/proxy/metrics.py
+++ b/flintreach/proxy/metrics.py
@@ -51,6 +51,9 @@
 # Attempts rejected because the endpoint had reached its connection limit.
 AT_CONNECTION_LIMIT = "full"
 
+# Updates of endpoints that were skipped, as their address can't be used.
+UNUSABLE_ADDRESS = "unusable address"
+
 # Gauges, with their help texts.
 RESIDENT_MEMORY = "resident_memory_bytes"
 MEMORY_LIMIT = "memory_limit_bytes"
--- a/flintreach/proxy/program.py
+++ b/flintreach/proxy/program.py
@@ -8,6 +8,7 @@
 import sys
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import gevent
@@ -42,6 +43,7 @@
 from flintreach.proxy.view import RoutingView
 from flintreach.transport.listening import bind_when_available
 from flintreach.transport.peer_pool import PeerPool
+from flintreach.transport.runtime import run_loop
 
 NS_PER_S = 1_000_000_000
 MS_PER_S = 1000
@@ -127,6 +129,7 @@
         self.ready_listener = pywsgi.WSGIServer(ready_address, self.serve_ready, log=None)
         self.is_ready = False
         self.stopping = Event()
+        self.listen_error: OSError | None = None
 
     def controller_addresses(self) -> list[tuple[str, int]]:
         """Returns the controller addresses from the settings, used to discover the first members."""
@@ -215,6 +218,9 @@
 
         Returns:
             Exit status of the process.
+
+        Raises:
+            OSError: an address can't be bound.
         """
         self.peer_pool.start()
         self.start_log.enter(StartStage.LISTENING)
@@ -223,11 +229,17 @@
         bind_when_available(self.ready_listener.start, self.ready_listener.address)
         gevent.signal_handler(signal.SIGTERM, self.stopping.set)
         gevent.signal_handler(signal.SIGHUP, self.reload_settings)
-        gevent.spawn(settings.watch, self.reload_settings, gevent.sleep)
-        gevent.spawn(self.report_load)
-        gevent.spawn(self.prune_connections)
-        gevent.spawn(self.become_ready)
+        loops = (
+            partial(settings.watch, self.reload_settings, gevent.sleep),
+            self.report_load,
+            self.prune_connections,
+            self.become_ready,
+        )
+        for loop in loops:
+            gevent.spawn(run_loop, loop)
         self.stopping.wait()
+        if self.listen_error is not None:
+            raise self.listen_error
         return self.drain()
 
     def reload_settings(self) -> None:
@@ -244,7 +256,12 @@
             gevent.sleep(READY_POLL_INTERVAL_S)
         if self.stopping.is_set():
             return
-        bind_when_available(self.client_listener.start, self.client_listener.address)
+        try:
+            bind_when_available(self.client_listener.start, self.client_listener.address)
+        except OSError as error:
+            self.listen_error = error
+            self.stopping.set()
+            return
         self.is_ready = True
         self.failure_detector.update_local(ready=True)
         log_event("ready", edition=self.view.routes.number, endpoints=len(self.view.endpoints))
--- a/flintreach/proxy/view.py
+++ b/flintreach/proxy/view.py
@@ -27,7 +27,7 @@
 from flintreach.proxy.endpoint import EndpointState, EndpointView
 from flintreach.proxy.key_ranges import KeyRanges
 from flintreach.proxy.lease import UNKNOWN_DEPARTURE_NS, LeaseTerms
-from flintreach.proxy.metrics import LATE_SEND, SENT_AFTER_DEPARTURE, Metrics
+from flintreach.proxy.metrics import LATE_SEND, SENT_AFTER_DEPARTURE, UNUSABLE_ADDRESS, Metrics
 
 NS_PER_MS = 1_000_000
 NS_PER_S = 1_000_000_000
@@ -185,7 +185,11 @@
             self.remove_endpoint(endpoint)
             return
         if endpoint is None:
-            endpoint = self.add_endpoint(endpoint_id, update)
+            try:
+                endpoint = self.add_endpoint(endpoint_id, update)
+            except ValueError:  # accepted by a controller of an earlier release
+                self.metrics.count(UNUSABLE_ADDRESS)
+                return
         endpoint.state = update.state
         endpoint.departed_at = self.departures.get(endpoint_id)
         if update.warm_up_left_ms:
@@ -213,7 +217,11 @@
             self.metrics.count(SENT_AFTER_DEPARTURE)
 
     def add_endpoint(self, endpoint_id: str, update: EndpointUpdate) -> EndpointView:
-        """Creates the view of an endpoint."""
+        """Creates the view of an endpoint.
+
+        Raises:
+            ValueError: its address can't be used.
+        """
         endpoint = EndpointView(
             endpoint_id,
             update.service,
--- a/flintreach/simulation/process.py
+++ b/flintreach/simulation/process.py
@@ -343,6 +343,10 @@
         """Run a function concurrently with the caller."""
         return Task(self.process, function, args)
 
+    def spawn_loop(self, loop: Callable[[], Any]) -> None:
+        """Run a loop once: an exception that ends it is a violation of an invariant."""
+        self.spawn(loop)
+
     def event(self) -> Event:
         """Create an event."""
         return Event(self.process)
--- a/flintreach/transport/runtime.py
+++ b/flintreach/transport/runtime.py
@@ -6,6 +6,7 @@
 """
 
 import random
+import sys
 import time
 from collections.abc import Callable, Iterable
 from contextlib import AbstractContextManager
@@ -18,6 +19,8 @@
 from flintreach.transport.peer_connection import Address, MessageHandlers, PeerConnection, dial
 from flintreach.transport.traffic_meter import TrafficMeter
 
+LOOP_RESTART_DELAY_S = 0.2
+
 
 class TaskInterface(Protocol):
     """A function running concurrently with its caller."""
@@ -76,6 +79,9 @@
     def spawn(self, function: Callable[..., Any], *args: Any) -> TaskInterface:
         """Run a function concurrently with the caller."""
 
+    def spawn_loop(self, loop: Callable[[], Any]) -> None:
+        """Run a loop that lasts as long as the process, concurrently with the caller."""
+
     def event(self) -> EventInterface:
         """Create an event."""
 
@@ -93,6 +99,20 @@
         """Run calls concurrently; return when all have finished or `timeout` seconds have passed."""
 
 
+def run_loop(loop: Callable[[], Any]) -> None:
+    """Run a loop, and start it again after each exception, which is reported like an unhandled one.
+
+    One bad input must not stop for good what a process does periodically.
+    """
+    while True:
+        try:
+            loop()
+            return
+        except Exception:
+            gevent.get_hub().handle_error(loop, *sys.exc_info())
+        gevent.sleep(LOOP_RESTART_DELAY_S)
+
+
 class Task:
     """`TaskInterface` over a greenlet."""
 
@@ -135,6 +155,10 @@
         """Run a function concurrently with the caller."""
         return Task(gevent.spawn(function, *args))
 
+    def spawn_loop(self, loop: Callable[[], Any]) -> None:
+        """Run a loop that lasts as long as the process; see `run_loop`."""
+        gevent.spawn(run_loop, loop)
+
     def event(self) -> Event:
         """Create an event."""
         return Event()
--- a/tests/endpoints/test_registry.py
+++ b/tests/endpoints/test_registry.py
@@ -28,6 +28,55 @@
     return Heartbeat("web", address, "north", 2, state, sequence, "v1", warming_up_left_ms)
 
 
+class HeartbeatFigures(unittest.TestCase):
+    FIELDS = {
+        "line": "web",
+        "addr": "10.0.0.9:80",
+        "zone": "north",
+        "berths": 2,
+        "state": "ready",
+        "call_seq": 1,
+        "edition": "v1",
+        "cold_left_ms": 0,
+    }
+
+    def decode(self, **changes: object) -> Heartbeat:
+        return msgspec.json.decode(msgspec.json.encode(self.FIELDS | changes), type=Heartbeat)
+
+    def test_figures_that_can_not_be_sent_on_and_addresses_that_can_not_be_used_are_rejected(self) -> None:
+        for changes in (
+            {"berths": -1},
+            {"berths": 10**18},
+            {"call_seq": 1 << 63},
+            {"call_seq": -1},
+            {"cold_left_ms": 1e300},
+            {"addr": "desk.example:80"},
+            {"addr": "256.0.0.1:80"},
+            {"addr": "10.0.0.9:99999"},
+            {"addr": "10.0.0.9"},
+        ):
+            with self.subTest(changes), self.assertRaises(msgspec.ValidationError):
+                self.decode(**changes)
+        for address in ("0.0.0.0:1", "255.255.255.255:65535", "127.41.7.100:7600"):
+            self.assertEqual(self.decode(addr=address).address, address)
+
+    def test_an_endpoint_without_capacity_counts_as_one_with_the_least(self) -> None:
+        registry = EndpointRegistry(REPORT_MS)
+        registry.record_heartbeat("e", self.decode(berths=0), 0)
+        record = registry.records["e"]
+        self.assertEqual(record.capacity, 1)
+        row = record.row(0)
+        row.capacity = 0  # as an earlier release stored it
+        self.assertEqual(EndpointRecord.from_row(row, 0).capacity, 1)
+
+    def test_the_greatest_figures_can_be_sent_on(self) -> None:
+        registry = EndpointRegistry(REPORT_MS)
+        greatest = self.decode(berths=1_000_000, call_seq=(1 << 63) - 1, cold_left_ms=24 * 3600 * 1000)
+        registry.record_heartbeat("e", greatest, 0)
+        record = registry.records["e"]
+        msgspec.msgpack.encode([record.row(0), record.version, record.update_value(0)])
+
+
 class EndpointStateTest(unittest.TestCase):
     def test_state_transitions(self) -> None:
         """Rows: message, time in milliseconds, ids to publish, resulting state."""
--- a/tests/proxy/test_view.py
+++ b/tests/proxy/test_view.py
@@ -33,6 +33,14 @@
         updates.offer("hut/a", [1, 9], endpoint_update("n", 0))  # outdated update is ignored
         self.assertEqual(candidates(view), ["b", "c"])
 
+    def test_an_endpoint_whose_address_can_not_be_used_is_skipped(self) -> None:
+        view, updates, _ = routing_view(configuration(), {"a": "n"})
+        for address in ("10.0.0.1:none", "10.0.0.1:99999"):
+            updates.offer("hut/b", [1, 0], endpoint_update("n", 0) | {"addr": address})
+            self.assertEqual(candidates(view), ["a"])
+        updates.offer("hut/b", [1, 1], endpoint_update("n", 0))
+        self.assertEqual(candidates(view), ["a", "b"])
+
     def test_a_request_is_not_sent_if_the_endpoint_starts_draining_during_connection_setup(
         self,
     ) -> None:
