A proxy bounds the memory of requests and responses in progress by memory_mb

Cause: no program used `memory_mb` of its settings. A request's body was copied four times (buffer, body, joined with its head for each attempt, and once more when sent), a response's three times, and nothing bounded how many were held at once. A few long messages took a proxy over its limit, and the platform ended it.

Change: `proxy/memory_budget.py`: three budgets (requests with short bodies, long request bodies, long response bodies) divide the memory. A message reserves before it is read; without room it is not read, and a request that waits too long is answered 503. Long bodies are held once, and sent from there. A client that accepts none of a long response for the idle limit loses its connection.

--- a/flintreach/demo/cluster.py
+++ b/flintreach/demo/cluster.py
@@ -117,6 +117,7 @@
         work_dir: holds one directory per machine, with its settings, state and log.
         removes_work_dir: whether `stop` deletes `work_dir`.
         module, environ: used for machines that are added later; see `Machine`.
+        memory_mb: memory limit in the machines' settings; 0 for none.
     """
 
     def __init__(
@@ -127,6 +128,7 @@
         proxies: int = 3,
         work_dir: str | None = None,
         first_run: bool = True,
+        memory_mb: float = 0,
     ) -> None:
         """Write the settings of all machines without starting any.
 
@@ -137,6 +139,7 @@
             proxies: number of proxies, assigned to the zones in rotation.
             work_dir: directory for settings, state and logs; a temporary directory by default.
             first_run: whether this is the cluster's first start, so that empty disks are not data loss.
+            memory_mb: memory limit in the machines' settings; 0 for none.
         """
         self.base = base
         self.port = port
@@ -144,6 +147,7 @@
         self.work_dir = work_dir or tempfile.mkdtemp(prefix="flintreach-demo-")
         self.machines: list[Machine] = []
         self.endpoints: list[Endpoint] = []
+        self.memory_mb = memory_mb
         self.module = "flintreach"
         self.environ: dict[str, str] = {}
         self.tolerated_losses = {
@@ -220,6 +224,7 @@
                 "first_run": first_run,
                 "serves": [*machine.listen_addresses],
                 "store_dir": machine.data_dir if is_controller else None,
+                "limits": {"memory_mb": self.memory_mb},
             },
             "network": {
                 "posts": machine.listen_addresses,
--- a/flintreach/proxy/attempt.py
+++ b/flintreach/proxy/attempt.py
@@ -15,6 +15,7 @@
 from flintreach.proxy.endpoint import EndpointView
 from flintreach.proxy.exchange import MISDIRECTED_REQUEST, ExchangeOptions, Outcome, exchange
 from flintreach.proxy.health_check import HealthChecker, confirms_presence
+from flintreach.proxy.memory_budget import MemoryBudget
 from flintreach.proxy.metrics import (
     AT_CONNECTION_LIMIT,
     CANCELLED_ATTEMPTS,
@@ -55,16 +56,24 @@
         view: leases on endpoints, and the configuration of their services.
         metrics: receives event counts and durations.
         load_aggregate: collects the loads that are reported to the controllers.
+        response_memory: budget for long bodies of responses.
 
     Attributes:
         average_latency_ns: service -> moving average of the duration of its answered attempts.
     """
 
-    def __init__(self, view: RoutingView, metrics: Metrics, load_aggregate: LoadAggregate) -> None:
+    def __init__(
+        self,
+        view: RoutingView,
+        metrics: Metrics,
+        load_aggregate: LoadAggregate,
+        response_memory: MemoryBudget,
+    ) -> None:
         self.view = view
         self.metrics = metrics
         self.load_aggregate = load_aggregate
-        self.health_checker = HealthChecker(view, metrics)
+        self.response_memory = response_memory
+        self.health_checker = HealthChecker(view, metrics, response_memory)
         self.average_latency_ns: dict[str, int] = {}
 
     def attempt(self, request: Request, service: str, endpoint: EndpointView, deadline: int) -> Outcome:
@@ -137,6 +146,7 @@
             may_send=lambda: self.may_send(request, endpoint),
             on_written=lambda: self.record_written(request, endpoint, began_at),
             arrive_by=lambda: self.view.arrival_deadline(endpoint),
+            memory=self.response_memory,
         )
 
     def may_send(self, request: Request, endpoint: EndpointView) -> bool:
--- a/flintreach/proxy/client_listener.py
+++ b/flintreach/proxy/client_listener.py
@@ -5,6 +5,7 @@
 forwarded in parallel and answered in order (RFC 9112, section 9.3.2).
 """
 
+import errno
 import sys
 import time
 from collections.abc import Callable
@@ -16,9 +17,20 @@
 
 from flintreach.config.configuration import RequestLimits
 from flintreach.proxy.caller import Caller, ClientDisconnected, HangupMonitor
+from flintreach.proxy.exchange import MAX_JOINED_BODY_BYTES
 from flintreach.proxy.forwarding import Forwarder
-from flintreach.proxy.request import NO_CONTENT, NOT_MODIFIED, ClientResponse, Request, error_response
-from flintreach.proxy.request_parser import BadRequest, ByteSource, parse_head, read_body
+from flintreach.proxy.memory_budget import RequestMemory
+from flintreach.proxy.metrics import NO_MEMORY
+from flintreach.proxy.request import (
+    NO_CONTENT,
+    NOT_MODIFIED,
+    RETRY_AFTER_S,
+    ClientResponse,
+    Request,
+    error_response,
+)
+from flintreach.proxy.request_parser import BadRequest, ByteSource, Reserve, parse_head, read_body
+from flintreach.proxy.response import parse_count
 
 MS_PER_S = 1000
 
@@ -28,6 +40,16 @@
 # How long a client's data is still read and discarded after a response that closes its connection.
 LINGER_S = 0.3
 
+# Likewise after a response to a request whose body was not read: its client may read no response before it
+# has sent the whole body.
+UNREAD_BODY_LINGER_S = 5.0
+SERVICE_UNAVAILABLE = 503
+UNREAD_BODY_STATUSES = (413, SERVICE_UNAVAILABLE)
+
+# How long a request waits for memory: in seconds, and as a part of the time that its client has left.
+MAX_MEMORY_WAIT_S = 2.0
+MEMORY_WAIT_FRACTION = 0.5
+
 LINGER_READ_SIZE = 65536
 
 # Length of the kernel's queue of connections that are not accepted yet.
@@ -77,6 +99,7 @@
         last_answered: set when the most recent pipelined request has been answered.
         closing: whether no further requests are read or answered.
         lingering: whether data is discarded that the client sends after the last response.
+        linger_s: how long.
         caller: the client, shared by all requests of the connection.
     """
 
@@ -96,6 +119,7 @@
         self.last_answered: Event | None = None
         self.closing = False
         self.lingering = False
+        self.linger_s = LINGER_S
         self.caller = Caller()
         self.caller.disconnect_callbacks.append(self.on_client_disconnected)
 
@@ -141,10 +165,14 @@
         try:
             with gevent.Timeout(limits.header_ms / MS_PER_S):
                 request = self.read_head(limits)
-            if request is None or not self.send_continue_if_expected(request):
+            if request is None:
+                return None
+            reserve = self.reserve_memory(request)
+            reserve(0)
+            if not self.send_continue_if_expected(request):
                 return None
             with gevent.Timeout(limits.idle_ms / MS_PER_S):
-                request.body = read_body(source, request, limits.body_bytes)
+                request.body = read_body(source, request, limits.body_bytes, reserve)
         except gevent.Timeout:
             raise BadRequest(408) from None
         request.received_at = time.monotonic_ns()
@@ -169,6 +197,27 @@
         request.caller = self.caller
         return request
 
+    def reserve_memory(self, request: Request) -> Reserve:
+        """Return a function that reserves memory for the request with a body of the given length in bytes.
+
+        It waits for memory for a part of the time that the client waits, and then raises `BadRequest`.
+        """
+        forwarder = self.server.forwarder
+        request.memory = RequestMemory(forwarder.memory)
+        wait_s = MAX_MEMORY_WAIT_S
+        time_left_ms = parse_count(request.headers_by_name.get("x-time-left-ms", ""))
+        if time_left_ms is not None:
+            wait_s = min(wait_s, MEMORY_WAIT_FRACTION * time_left_ms / MS_PER_S)
+        give_up_at = time.monotonic() + wait_s
+
+        def reserve(size: int) -> None:
+            remaining_s = max(0.0, give_up_at - time.monotonic())
+            if not request.memory.grow_to(size, remaining_s):
+                forwarder.metrics.count(NO_MEMORY)
+                raise BadRequest(SERVICE_UNAVAILABLE)
+
+        return reserve
+
     def send_continue_if_expected(self, request: Request) -> bool:
         """Send 100 Continue if the request expects it (RFC 9110, section 10.1.1).
 
@@ -193,6 +242,7 @@
             self.wait_for_pipelined()
             if not self.closing:
                 self.forward_sequentially(request, close)
+            request.memory.release()
             return
         previous_answered = self.last_answered
         self.last_answered = Event()
@@ -244,6 +294,7 @@
                 raise
         finally:
             self.pending -= 1
+            request.memory.release()
             answered.set()
 
     def forward(self, request: Request) -> ClientResponse:
@@ -267,8 +318,10 @@
         self.wait_for_pipelined()
         if self.closing:
             return
+        self.linger_s = UNREAD_BODY_LINGER_S if status in UNREAD_BODY_STATUSES else LINGER_S
+        retry_after_s = RETRY_AFTER_S if status == SERVICE_UNAVAILABLE else None
         try:
-            self.send_response(None, error_response(status), True)
+            self.send_response(None, error_response(status, retry_after_s), True)
         except OSError:
             pass
 
@@ -289,10 +342,32 @@
         close = close or response.close or (self.server.draining and is_last_forwarded)
         self.closing = self.closing or close
         head = response_head(response, request, close)
-        self.socket.sendall(head if is_head(request) else head + response.body)
+        try:
+            self.send_message(head, b"" if is_head(request) else response.body)
+        finally:
+            response.release_memory()
         if close:
             self.socket.shutdown(socket.SHUT_WR)
 
+    def send_message(self, head: bytes, body: bytes | bytearray) -> None:
+        """Send a response's head and body; a client must accept data within the idle limit.
+
+        Raises:
+            OSError: the connection failed, or the client accepts no data.
+        """
+        if len(body) <= MAX_JOINED_BODY_BYTES:
+            self.socket.sendall(head + body)
+            return
+        idle_s = self.server.limits().idle_ms / MS_PER_S
+        try:
+            for part in (memoryview(head), memoryview(body)):
+                sent_bytes = 0
+                while sent_bytes < len(part):
+                    with gevent.Timeout(idle_s):
+                        sent_bytes += self.socket.send(part[sent_bytes:])
+        except gevent.Timeout:
+            raise OSError(errno.ETIMEDOUT, "the client accepts no data") from None
+
     def linger(self) -> None:
         """After a response that closes the connection, discard what the client still sends for a while.
 
@@ -303,7 +378,7 @@
             return
         self.lingering = True
         try:
-            with gevent.Timeout(LINGER_S, False):
+            with gevent.Timeout(self.linger_s, False):
                 while self.socket.recv(LINGER_READ_SIZE):
                     pass
         except OSError:
--- a/flintreach/proxy/exchange.py
+++ b/flintreach/proxy/exchange.py
@@ -9,11 +9,12 @@
 import errno
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import gevent
 
 from flintreach.proxy.connection import IDLE_LIMIT_NS, Connection, ConnectionPool, was_rejected
+from flintreach.proxy.memory_budget import GROWTH_FACTOR, MAX_SHORT_BODY_BYTES, MemoryBudget, Reservation
 from flintreach.proxy.outcome import OutcomeKind
 from flintreach.proxy.response import HTTPParseError, Response, ResponseParser
 
@@ -33,6 +34,9 @@
 
 READ_SIZE = 65536
 
+# Up to this length, a body is sent together with its head.
+MAX_JOINED_BODY_BYTES = 65536
+
 # A time that is never reached.
 NO_LIMIT_NS = 1 << 62
 
@@ -106,6 +110,7 @@
         on_written: called when the kernel has accepted the whole request.
         arrive_by: returns the time by which the request must have reached the endpoint's machine, or else the
             connection is reset; the time may be extended during the exchange.
+        memory: budget for long bodies of responses.
     """
 
     deadline: int
@@ -114,6 +119,14 @@
     may_send: Callable[[], bool] = always_may_send
     on_written: Callable[[], None] = ignore_written
     arrive_by: Callable[[], int] = no_arrival_limit
+    memory: MemoryBudget = field(default_factory=MemoryBudget)
+
+
+def buffers_to_send(head: bytes, body: bytes | bytearray) -> list[memoryview]:
+    """The parts of a request in the order in which they are sent; a long body is not copied."""
+    if len(body) <= MAX_JOINED_BODY_BYTES:
+        return [memoryview(head + body)]
+    return [memoryview(head), memoryview(body)]
 
 
 class Exchange:
@@ -121,7 +134,8 @@
 
     Args:
         connection: a connection without unread or unsent data.
-        data: the request's bytes.
+        head: the request's head, including the empty line.
+        body: the request's body; it must not change during the exchange.
         request_id: the id that its response must have; "" for none.
         options: limits and callbacks.
 
@@ -133,25 +147,32 @@
         "connection",
         "request_id",
         "options",
-        "unsent_data",
+        "unsent",
         "sending_started",
         "is_acknowledged",
         "parser",
         "received_bytes",
+        "memory",
         "reusable",
     )
 
     def __init__(
-        self, connection: Connection, data: bytes, request_id: str, options: ExchangeOptions
+        self,
+        connection: Connection,
+        head: bytes,
+        body: bytes | bytearray,
+        request_id: str,
+        options: ExchangeOptions,
     ) -> None:
         self.connection = connection
         self.request_id = request_id
         self.options = options
-        self.unsent_data = memoryview(data)
+        self.unsent = buffers_to_send(head, body)
         self.sending_started = False  # some bytes have been sent
         self.is_acknowledged = False  # the endpoint's machine has acknowledged all bytes
-        self.parser = ResponseParser(to_head=data.startswith(b"HEAD "))
+        self.parser = ResponseParser(to_head=head.startswith(b"HEAD "))
         self.received_bytes = 0
+        self.memory = Reservation(options.memory)
         self.reusable = False
 
     def run(self) -> Outcome:
@@ -181,17 +202,19 @@
 
     def send(self) -> None:
         """Write the remaining bytes of the request to the socket."""
-        if not self.unsent_data:
+        if not self.unsent:
             return
-        while self.unsent_data:
-            sent_bytes = self.connection.sock.send(self.unsent_data)
-            self.unsent_data = self.unsent_data[sent_bytes:]
+        while self.unsent:
+            sent_bytes = self.connection.sock.send(self.unsent[0])
             self.sending_started = True
+            self.unsent[0] = self.unsent[0][sent_bytes:]
+            if not self.unsent[0]:
+                del self.unsent[0]
         self.options.on_written()
 
     def receive(self) -> Outcome:
         """Read until the request's response is complete, or can no longer be expected."""
-        while data := self.connection.sock.recv(READ_SIZE):
+        while data := self.receive_data():
             try:
                 self.parser.feed(data)
             except HTTPParseError:
@@ -205,11 +228,18 @@
                 break
         return Outcome(OutcomeKind.NO_VALID_RESPONSE)
 
+    def receive_data(self) -> bytes:
+        """Read from the socket, once there is memory for the response; empty at the connection's end."""
+        expected_bytes = max(self.received_bytes, self.parser.announced_bytes())
+        if expected_bytes > MAX_SHORT_BODY_BYTES:
+            self.memory.grow_to(int(expected_bytes * GROWTH_FACTOR) + READ_SIZE)
+        return self.connection.sock.recv(READ_SIZE)
+
     def should_stop_reading(self) -> bool:
         """Whether parsing has failed or the limits on responses and bytes are exceeded."""
         if self.parser.parser_failed() or len(self.parser.complete) > MAX_UNMATCHED_RESPONSES:
             return True
-        return self.received_bytes > MAX_RESPONSE_BYTES
+        return max(self.received_bytes, self.parser.announced_bytes()) > MAX_RESPONSE_BYTES
 
     def accept_response(self, response: Response) -> Outcome:
         """The outcome for the request's own response; also sets whether the connection is reusable."""
@@ -220,6 +250,7 @@
         )
         is_intact = parser.has_framing_header and kind != OutcomeKind.NO_VALID_RESPONSE
         self.reusable = response.keep_alive and is_only_message and is_intact and self.request_id != ""
+        response.memory = self.memory
         return Outcome(kind, response)
 
     def outcome_at_limit(self) -> Outcome | None:
@@ -227,7 +258,7 @@
         now = time.monotonic_ns()
         if now >= self.options.deadline:
             return Outcome(OutcomeKind.TIMEOUT)
-        self.is_acknowledged = not self.unsent_data and not self.connection.unacknowledged_bytes()
+        self.is_acknowledged = not self.unsent and not self.connection.unacknowledged_bytes()
         if self.is_acknowledged or now < self.options.arrive_by():
             return None
         # If some bytes were sent, they may have arrived, and the request may have run.
@@ -255,7 +286,7 @@
 def exchange(
     pool: ConnectionPool,
     head: bytes,
-    body: bytes,
+    body: bytes | bytearray,
     request_id: str,
     options: ExchangeOptions,
     used_connections: list[Connection] | None = None,
@@ -282,7 +313,7 @@
         if isinstance(result, Outcome):
             return result
         connection = result
-    active_exchange = Exchange(connection, head + body, request_id, options)
+    active_exchange = Exchange(connection, head, body, request_id, options)
     outcome: Outcome | None = None
     try:
         if not options.may_send():
--- a/flintreach/proxy/forwarding.py
+++ b/flintreach/proxy/forwarding.py
@@ -30,6 +30,7 @@
 from flintreach.proxy.hedging import Hedge, HedgedOutcome
 from flintreach.proxy.in_flight import DrainTimeout, InFlightRequests
 from flintreach.proxy.link_admission import MAX_WAIT_FRACTION, LinkAdmission
+from flintreach.proxy.memory_budget import NO_LIMIT, message_memory
 from flintreach.proxy.metrics import (
     BUDGET_EXHAUSTED,
     CLIENT_DISCONNECTED,
@@ -120,9 +121,11 @@
         metrics: receives event counts.
         load_aggregate: collects the loads that are reported to the controllers.
         mbps: bandwidth of this machine's link in megabits per second; 0 if unknown.
+        memory_mb: memory that this process may use, in MB; 0 for no limit.
 
     Attributes:
         in_flight: the requests that are being forwarded.
+        memory: bounds the memory of requests and responses.
     """
 
     def __init__(
@@ -132,12 +135,14 @@
         metrics: Metrics,
         load_aggregate: LoadAggregate,
         mbps: float = 0.0,
+        memory_mb: float = NO_LIMIT,
     ) -> None:
         self.view = view
         self.bounds = bounds
         self.metrics = metrics
         self.load_aggregate = load_aggregate
-        self.endpoint_client = EndpointClient(view, metrics, load_aggregate)
+        self.memory = message_memory(memory_mb)
+        self.endpoint_client = EndpointClient(view, metrics, load_aggregate, self.memory.response_bodies)
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.link_admission = LinkAdmission(mbps)
         self.in_flight = InFlightRequests()
--- a/flintreach/proxy/health_check.py
+++ b/flintreach/proxy/health_check.py
@@ -15,6 +15,7 @@
 
 from flintreach.proxy.endpoint import EndpointView
 from flintreach.proxy.exchange import NS_PER_S, ExchangeOptions, exchange
+from flintreach.proxy.memory_budget import MemoryBudget
 from flintreach.proxy.metrics import HEALTH_CHECKS, Metrics
 from flintreach.proxy.response import Response
 from flintreach.proxy.view import RoutingView
@@ -30,9 +31,18 @@
 
 
 class HealthChecker:
-    """Checks endpoints whose lease has expired, with at most one concurrent check for each endpoint."""
-
-    def __init__(self, view: RoutingView, metrics: Metrics) -> None:
+    """Checks endpoints whose lease has expired, with at most one concurrent check for each endpoint.
+
+    Args:
+        view: leases on endpoints, and the configuration of their services.
+        metrics: receives event counts.
+        response_memory: budget for long bodies of responses.
+    """
+
+    def __init__(
+        self, view: RoutingView, metrics: Metrics, response_memory: MemoryBudget | None = None
+    ) -> None:
+        self.response_memory = response_memory or MemoryBudget()
         self.view = view
         self.metrics = metrics
         # Endpoint id -> event that is set when its check ends.
@@ -79,8 +89,10 @@
             f"X-Expect-Endpoint: {endpoint.id}",
         ]
         head = "\r\n".join([*lines, "", ""]).encode()
-        terms = ExchangeOptions(now + int(CHECK_TIMEOUT_S * NS_PER_S), CONNECT_TIMEOUT_S)
-        response = exchange(endpoint.pool, head, b"", "", terms).response
+        options = ExchangeOptions(
+            now + int(CHECK_TIMEOUT_S * NS_PER_S), CONNECT_TIMEOUT_S, memory=self.response_memory
+        )
+        response = exchange(endpoint.pool, head, b"", "", options).response
         if response is None or response.status != 200:
             return
         if response.get("x-endpoint-id") == endpoint.id:
--- a/flintreach/proxy/metrics.py
+++ b/flintreach/proxy/metrics.py
@@ -36,6 +36,8 @@
 LINK_ADMISSION_TIMEOUT = "no turn"
 # Requests without an endpoint to try, or without a further one.
 NO_ENDPOINT = "nowhere"
+# Requests rejected because the memory for requests in progress was taken.
+NO_MEMORY = "no memory"
 # Requests not retried because the retry budget was exhausted.
 BUDGET_EXHAUSTED = "budget"
 # Retries after a failed attempt.
@@ -60,12 +62,14 @@
 OPEN_DESCRIPTORS = "open_descriptors"
 DESCRIPTOR_LIMIT = "descriptor_limit"
 CLIENT_CONNECTIONS = "client_connections"
+MESSAGE_MEMORY = "message_memory_bytes"
 UNHANDLED_ERRORS = "unhandled_errors"
 GAUGE_HELP = {
     RESIDENT_MEMORY: "resident memory of the process",
     MEMORY_LIMIT: "memory_mb of the settings",
     OPEN_DESCRIPTORS: "open descriptors of the process",
     DESCRIPTOR_LIMIT: "file_handles of the settings",
+    MESSAGE_MEMORY: "memory reserved for requests and responses in progress",
     CLIENT_CONNECTIONS: "open connections of clients",
     UNHANDLED_ERRORS: "exceptions since the start that nothing handled",
 }
--- a/flintreach/proxy/program.py
+++ b/flintreach/proxy/program.py
@@ -35,6 +35,7 @@
     CLIENT_CONNECTIONS,
     DESCRIPTOR_LIMIT,
     MEMORY_LIMIT,
+    MESSAGE_MEMORY,
     OPEN_DESCRIPTORS,
     RESIDENT_MEMORY,
     UNHANDLED_ERRORS,
@@ -108,7 +109,14 @@
         )
         self.load_aggregate = LoadAggregate()
         link_mbps = sender.limits.link_mbps
-        self.forwarder = Forwarder(self.view, node.bounds, self.metrics, self.load_aggregate, link_mbps)
+        self.forwarder = Forwarder(
+            self.view,
+            node.bounds,
+            self.metrics,
+            self.load_aggregate,
+            link_mbps,
+            sender.limits.memory_mb,
+        )
         client_post = node.network.listen_addresses[CLIENT_PORT]
         member = Member(
             sender.node_name,
@@ -193,6 +201,7 @@
             MEMORY_LIMIT: limits.memory_mb * BYTES_PER_MB,
             OPEN_DESCRIPTORS: open_descriptors(),
             DESCRIPTOR_LIMIT: limits.file_handles,
+            MESSAGE_MEMORY: self.forwarder.memory.used_bytes(),
             CLIENT_CONNECTIONS: len(self.client_listener.handlers),
             UNHANDLED_ERRORS: self.unhandled_errors.total,
         }
--- a/flintreach/proxy/request.py
+++ b/flintreach/proxy/request.py
@@ -4,6 +4,7 @@
 
 from flintreach.proxy.caller import Caller
 from flintreach.proxy.connection import Connection
+from flintreach.proxy.memory_budget import RequestMemory, Reservation
 from flintreach.proxy.response import Response
 
 NS_PER_MS = 1_000_000
@@ -66,17 +67,19 @@
         connections: endpoint connections on which it has been sent.
         caller: the client that waits for the response.
         idempotent: whether its route permits it to run more than once.
+        memory: the memory reserved for it.
     """
 
     method: str
     target: str
     headers: list[tuple[str, str]]
-    body: bytes = b""
+    body: bytes | bytearray = b""
     received_at: int = 0
     headers_by_name: dict[str, str] = field(default_factory=dict)
     connections: list[Connection] = field(default_factory=list)
     caller: Caller = field(default_factory=Caller)
     idempotent: bool = False
+    memory: RequestMemory | None = None
 
 
 @dataclass(slots=True)
@@ -89,13 +92,21 @@
         headers: (name, value) of each header.
         body: body.
         close: whether the client's connection must be closed after it.
+        memory: the memory reserved for its body, if that is long.
     """
 
     status: int
     reason: str = ""
     headers: list[tuple[str, str]] = field(default_factory=list)
-    body: bytes = b""
+    body: bytes | bytearray = b""
     close: bool = False
+    memory: Reservation | None = None
+
+    def release_memory(self) -> None:
+        """Give the memory for the body back, after it has been sent."""
+        self.body = b""
+        if self.memory is not None:
+            self.memory.release()
 
 
 def excluded_headers(connection: str) -> set[str]:
@@ -144,4 +155,4 @@
     headers = [(name, value) for name, value in response.headers if name.lower() not in excluded]
     if not is_head_request and response.status not in (NO_CONTENT, NOT_MODIFIED):
         headers.append(("Content-Length", str(len(response.body))))
-    return ClientResponse(response.status, response.reason, headers, bytes(response.body))
+    return ClientResponse(response.status, response.reason, headers, response.body, memory=response.memory)
--- a/flintreach/proxy/request_parser.py
+++ b/flintreach/proxy/request_parser.py
@@ -4,12 +4,18 @@
 rejected: the target is not decoded, and a request has at most one length.
 """
 
+from collections.abc import Callable, Iterator
 from typing import Protocol
 
 from flintreach.proxy.request import Request
 
 READ_SIZE = 65536
 
+END_OF_LINE = b"\r\n"
+
+# Memory that is reserved at a time for a body of unknown length; at least `READ_SIZE`.
+RESERVE_STEP_BYTES = 256 << 10
+
 # Maximum length of a chunk-size line and of one trailer, in bytes.
 MAX_CHUNK_LINE_BYTES = 256
 MAX_TRAILER_BYTES = 8192
@@ -33,6 +39,10 @@
 TOKEN_CHARACTERS = frozenset("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
 
 
+# Reserves memory for a message; see the parameter `reserve` of `read_body`.
+Reserve = Callable[[int], None]
+
+
 class BadRequest(Exception):
     """A request that is rejected before it is routed.
 
@@ -76,11 +86,19 @@
 
     def read(self, size: int) -> bytes:
         """Consume `size` bytes; fewer if the stream ends first."""
-        while len(self.buffer) < size and self.receive():
-            pass
-        taken = bytes(self.buffer[:size])
-        del self.buffer[:size]
-        return taken
+        return b"".join(self.read_pieces(size))
+
+    def read_pieces(self, size: int) -> Iterator[bytes]:
+        """Consume `size` bytes as they arrive; fewer if the stream ends first.
+
+        Yields:
+            Pieces of at most `READ_SIZE` bytes, so that no second copy of a long body is made.
+        """
+        while size > 0 and (self.buffer or self.receive()):
+            piece = bytes(self.buffer[: min(size, READ_SIZE)])
+            del self.buffer[: len(piece)]
+            size -= len(piece)
+            yield piece
 
     def read_until(self, delimiter: bytes, max_bytes: int) -> bytes | None:
         """Consume the bytes up to a delimiter and the delimiter; return them without it, or None at the end.
@@ -185,48 +203,74 @@
             raise BadRequest(400)
 
 
-def read_body(source: ByteSource, request: Request, max_bytes: int) -> bytes:
+def reserve_nothing(size: int) -> None:
+    """Default for the parameter `reserve` of `read_body`: memory is not limited."""
+
+
+def read_body(
+    source: ByteSource, request: Request, max_bytes: int, reserve: Reserve = reserve_nothing
+) -> bytes | bytearray:
     """Read the body of a request.
 
+    Args:
+        source: the connection, at the beginning of the body.
+        request: the request.
+        max_bytes: maximum length of a body.
+        reserve: called with the memory in bytes that the body takes, before it is read; for a body of
+            unknown length repeatedly, with the memory in all.
+
     Raises:
         BadRequest: the body exceeds `max_bytes` or is malformed.
         OSError: the connection ends before the body is complete.
+        Exception: whatever `reserve` raises.
     """
     if "transfer-encoding" in request.headers_by_name:
-        return read_chunked_body(source, max_bytes)
+        return read_chunked_body(source, max_bytes, reserve)
     length = int(request.headers_by_name.get("content-length", 0))
     if length > max_bytes:
         raise BadRequest(413)
     if not length:
         return b""
-    body = source.read(length)
-    if len(body) < length:
+    reserve(length)
+    body = bytearray(length)
+    position = 0
+    for piece in source.read_pieces(length):
+        body[position : position + len(piece)] = piece
+        position += len(piece)
+    if position < length:
         raise OSError
     return body
 
 
-def read_chunked_body(source: ByteSource, max_bytes: int) -> bytes:
-    """Read a chunked body (RFC 9112, section 7.1).
+def read_chunked_body(source: ByteSource, max_bytes: int, reserve: Reserve = reserve_nothing) -> bytearray:
+    """Read a chunked body (RFC 9112, section 7.1); see `read_body` for the parameters.
 
     Raises:
         BadRequest: the body exceeds `max_bytes` or is malformed.
         OSError: the connection ends before the body is complete.
+        Exception: whatever `reserve` raises.
     """
     body = bytearray()
+    reserved_bytes = 0
     while True:
         size = read_chunk_size(source)
         if not size:
             break
         if len(body) + size > max_bytes:
             raise BadRequest(413)
-        chunk = source.read(size + 2)
-        if len(chunk) < size + 2:
+        end = len(body) + size
+        for piece in source.read_pieces(size):
+            if len(body) + len(piece) > reserved_bytes:
+                reserved_bytes = len(body) + RESERVE_STEP_BYTES
+                reserve(reserved_bytes)
+            body += piece
+        line_end = source.read(len(END_OF_LINE))
+        if len(body) < end or len(line_end) < len(END_OF_LINE):
             raise OSError
-        if chunk[-2:] != b"\r\n":
+        if line_end != END_OF_LINE:
             raise BadRequest(400)
-        body += chunk[:-2]
     skip_trailers(source)
-    return bytes(body)
+    return body
 
 
 def read_chunk_size(source: ByteSource) -> int:
--- a/flintreach/proxy/response.py
+++ b/flintreach/proxy/response.py
@@ -7,6 +7,8 @@
 
 from geventhttpclient._parser import HTTPParseError, HTTPResponseParser
 
+from flintreach.proxy.memory_budget import Reservation
+
 __all__ = ["HTTPParseError", "Response", "ResponseParser", "parse_count"]
 
 # Longest count that is parsed, in digits; `int` raises for thousands of digits.
@@ -42,9 +44,10 @@
         headers: [name, value] of each header, as received.
         body: body with the transfer coding removed.
         keep_alive: whether the connection is persistent according to HTTP.
+        memory: the memory reserved for its body, if that is long.
     """
 
-    __slots__ = ("status", "reason", "headers", "body", "keep_alive")
+    __slots__ = ("status", "reason", "headers", "body", "keep_alive", "memory")
 
     def __init__(self) -> None:
         self.status = 0
@@ -52,6 +55,7 @@
         self.headers: list[list[str]] = []
         self.body = bytearray()
         self.keep_alive = False
+        self.memory: Reservation | None = None
 
     def get(self, name: str) -> str | None:
         """The first value of a header, whose name is given in lower case; None if it is absent."""
@@ -93,6 +97,12 @@
         self.in_value = False
         self.in_body = False
 
+    def announced_bytes(self) -> int:
+        """The length in bytes that the message in progress announces for its body; 0 if it has none yet."""
+        if not self.in_body or self.to_head:
+            return 0
+        return parse_count(self.current.get("content-length") or "") or 0
+
     def _on_message_begin(self) -> None:
         self.current = Response()
         self.message_in_progress = True
--- a/flintreach/standins/endpoint.py
+++ b/flintreach/standins/endpoint.py
@@ -208,6 +208,7 @@
         sharded: bool = False,
         heartbeat_interval_s: float = 0.5,
         warm_up_s: float = 0.0,
+        padding_bytes: int = 0,
     ) -> None:
         """Create an endpoint that does not listen until `start` is called.
 
@@ -222,6 +223,7 @@
             sharded: whether to accept only requests for keys that it holds a lease on.
             heartbeat_interval_s: heartbeat interval in seconds.
             warm_up_s: seconds from now during which heartbeats report a warm-up.
+            padding_bytes: length of the padding after each response, to make it long.
         """
         self.id = f"i-{uuid.uuid4().hex[:8]}"
         self.service = service
@@ -234,6 +236,7 @@
         self.sharded = sharded
         self.heartbeat_interval_s = heartbeat_interval_s
         self.warm_up_ends_at = time.monotonic() + warm_up_s
+        self.padding = bytes(padding_bytes)
         self.leases = KeyLeases()
         self.state = EndpointState.READY
         self.sequence = itertools.count(1)
@@ -382,7 +385,7 @@
         """The response to a completed request; `X-Postmark` contains the number of its runs."""
         method = environ["REQUEST_METHOD"]
         path = environ["PATH_INFO"]
-        body = f"{self.service} at {self.id} did {method} {path}\n".encode()
+        body = f"{self.service} at {self.id} did {method} {path}\n".encode() + self.padding
         stamp = f"{self.id}.{self.run_counts[request_id]}"
         return Reply(OK, [("X-Postmark", stamp), ("Content-Type", "text/plain")], body)
 
--- /dev/null
+++ b/tests/demo/test_memory_limit.py
@@ -0,0 +1,96 @@
+"""Real processes with many long messages at once stay within `memory_mb` of their settings (issue 64)."""
+
+import os
+import socket
+import time
+import unittest
+from functools import partial
+
+import gevent
+
+from flintreach.demo.cluster import (
+    CONTROLLER_ROLE,
+    PROXY_ROLE,
+    DemoCluster,
+    Machine,
+    ProxyResponse,
+)
+from flintreach.demo.configuration import CONFIGURATION, HOST, PLAIN_SERVICE
+from tests.demo.test_cluster import WAIT_BOUND_S, free_port
+
+MB = 1 << 20
+MEMORY_MB = 300  # of a machine in the smallest deployment
+PATIENT = {"X-Time-Left-Ms": "20000"}
+
+
+def peak_memory_mb(machine: Machine) -> float:
+    """The most memory that a machine's process has had resident since its start."""
+    with open(f"/proc/{machine.process.pid}/status", encoding="ascii") as file:
+        peak_kb = next(int(line.split()[1]) for line in file if line.startswith("VmHWM:"))
+    return peak_kb / 1024
+
+
+class MemoryLimit(unittest.TestCase):
+    def setUp(self) -> None:
+        base = f"127.{130 + os.getpid() % 80}.{os.getpid() // 80 % 250}"
+        self.cluster = DemoCluster(base, free_port(base), controllers=1, proxies=1, memory_mb=MEMORY_MB)
+        self.addCleanup(self.cluster.stop)
+        self.deadline = time.monotonic() + WAIT_BOUND_S
+        self.cluster.start()
+        self.controller = self.cluster.with_role(CONTROLLER_ROLE)[0]
+        self.proxy = self.cluster.with_role(PROXY_ROLE)[0]
+        self.assertTrue(self.cluster.put_configuration(CONFIGURATION, self.deadline))
+
+    def serve(self, padding_bytes: int = 0) -> None:
+        """Start an endpoint, and wait until the proxy serves."""
+        self.cluster.add_endpoint(
+            PLAIN_SERVICE, 0, "north-a", capacity=200, queue_limit=200, padding_bytes=padding_bytes
+        )
+        self.assertTrue(self.cluster.wait_for(self.is_served, self.deadline))
+
+    def is_served(self) -> bool:
+        response = self.cluster.send_request(self.proxy, "/look/1")
+        return response is not None and response.status == 200
+
+    def send_at_once(self, count: int, target: str, **options: object) -> list[ProxyResponse | None]:
+        """The responses to some requests that are sent at the same moment."""
+        send = partial(self.cluster.send_request, self.proxy, target, headers=PATIENT, **options)
+        clients = [gevent.spawn(send) for _ in range(count)]
+        return [client.get() for client in clients]
+
+    def assert_within_limit(self, machine: Machine) -> None:
+        self.assertTrue(machine.is_running())
+        self.assertLess(peak_memory_mb(machine), MEMORY_MB)
+
+    def test_long_requests(self) -> None:
+        """Guards against three requests with bodies of 60 MB that took a proxy over its limit."""
+        self.serve()
+        responses = self.send_at_once(6, "/file/1", method="POST", body=bytes(60 * MB))
+        self.assert_within_limit(self.proxy)
+        self.assertEqual({response and response.status for response in responses} - {200, 503}, set())
+        rejected = [response for response in responses if response.status == 503]
+        self.assertTrue(all(response.headers.get("retry-after") for response in rejected))
+        self.assertLess(len(rejected), len(responses))
+        self.assertTrue(self.is_served())
+
+    def test_long_responses(self) -> None:
+        self.serve(padding_bytes=20 * MB)
+        responses = self.send_at_once(20, "/look/1")
+        self.assert_within_limit(self.proxy)
+        self.assertIn(200, {response and response.status for response in responses})
+        self.assertTrue(self.is_served())
+
+    def test_long_responses_to_clients_that_do_not_read_them(self) -> None:
+        self.serve(padding_bytes=5 * MB)
+        address = self.proxy.listen_addresses["front"].split(":")
+        for number in range(60):
+            client = socket.create_connection((address[0], int(address[1])))
+            self.addCleanup(client.close)
+            head = f"GET /look/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Try-Id: {number}\r\n\r\n"
+            client.sendall(head.encode())
+        gevent.sleep(3)
+        self.assert_within_limit(self.proxy)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/proxy/test_fuzz.py
+++ b/tests/proxy/test_fuzz.py
@@ -9,6 +9,8 @@
 from flintreach.config.configuration import RequestLimits
 from flintreach.proxy.caller import Caller
 from flintreach.proxy.client_listener import ClientHandler
+from flintreach.proxy.memory_budget import NO_LIMIT, message_memory
+from flintreach.proxy.metrics import Metrics
 from flintreach.proxy.request import ClientResponse, Request
 from flintreach.proxy.request_parser import BadRequest, ByteSource, parse_head
 from flintreach.proxy.response import ResponseParser
@@ -88,6 +90,8 @@
     def __init__(self) -> None:
         self.handlers: set[ClientHandler] = set()
         self.forwarder = self
+        self.memory = message_memory(NO_LIMIT)
+        self.metrics = Metrics()
         self.requests: list[Request] = []
         self.hangup_monitor = FakeHangupMonitor()
 
