A controller bounds the memory of long configurations

Change: a configuration may have 2 MiB; calls with long ones reserve a part of the memory before they are read, and are answered 503 `no memory` if there is none in time. A call's body and the reading of its response are bounded in time, so that a slow caller can't keep the memory. `MemoryBudget` moves to `common`.

--- a/flintreach/controller/http_api.py
+++ b/flintreach/controller/http_api.py
@@ -1,5 +1,6 @@
 """HTTP API of a controller for endpoints, operators and clients: a WSGI application served by gevent."""
 
+import errno
 import socket
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -7,26 +8,38 @@
 from http import HTTPStatus
 from typing import Any, Protocol
 
+import gevent
 import msgspec
 from gevent import pywsgi
 
 from flintreach.api import calls
 from flintreach.common.log import log_event
+from flintreach.common.memory_budget import MemoryBudget, Reservation
 from flintreach.config.configuration import ConfigError, check
 from flintreach.controller.endpoint_service import EndpointService
 from flintreach.controller.load_placement import LoadPlacement
 from flintreach.controller.operator_requests import OperatorRequests, RequestOutcome
 from flintreach.controller.quorum_contact import SuspendDetector
+from flintreach.controller.request_body import (
+    GET_COPIES,
+    PUT_COPIES,
+    BodyIncomplete,
+    BodyTooLarge,
+    NoMemory,
+    ReservedBody,
+    announced_bytes,
+    read_body,
+    reserve,
+)
 from flintreach.endpoints.registry import Heartbeat
-from flintreach.transport import peer_connection
 from flintreach.transport.runtime import Runtime
 
-# Half the message size limit: a configuration is sent to peers in one message with other keys, and a message
-# above the limit closes the connection.
-MAX_CONFIGURATION_BYTES = peer_connection.MAX_MESSAGE_BYTES // 2
+# A controller holds several copies of a configuration, and one for each of its connections to proxies.
+MAX_CONFIGURATION_BYTES = 2 << 20
 MAX_BODY_BYTES = 64 << 10  # for all other calls
 RETRY_AFTER_S = "0.2"  # short, as another controller may be able to answer immediately
 LISTEN_BACKLOG = 256
+SEND_TIMEOUT_S = 15.0  # for the whole of a response
 # WSGI environ key of a function that returns whether the caller closed its connection.
 ENVIRON_CALLER_DISCONNECTED = "flintreach.gone"
 # RFC 9110, section 15.5.14; Python 3.11 still has the reason phrase of RFC 7231.
@@ -55,6 +68,7 @@
     NO_QUORUM_CONTACT = "out of touch"
     TOO_LATE = "late"  # the caller will have timed out and retried on another controller
     CALLER_DISCONNECTED = "caller gone"
+    NO_MEMORY = "no memory"  # other calls take the memory for long configurations
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,14 +103,6 @@
 }
 
 
-class BodyTooLarge(Exception):
-    """The request body exceeds the limit of its call; the rest of it is left unread."""
-
-
-class BodyIncomplete(Exception):
-    """The request body is shorter than its Content-Length, or its chunked encoding is malformed."""
-
-
 class ControlApiPlane(Protocol):
     """The part of the control plane that `ControlApi` uses."""
 
@@ -134,31 +140,21 @@
     caller_disconnected: Callable[[], bool]
 
 
-def read_body(environ: dict[str, Any], max_bytes: int) -> bytes:
-    """Read a request body.
-
-    Raises:
-        BodyTooLarge: the Content-Length or the bytes read so far exceed `max_bytes`.
-        BodyIncomplete: the body ended early, or its chunked encoding is malformed.
-    """
-    content_length = environ.get("CONTENT_LENGTH") or "0"
-    if content_length.isdigit() and int(content_length) > max_bytes:
-        raise BodyTooLarge
-    try:
-        body = environ["wsgi.input"].read(max_bytes + 1)
-    except OSError as error:
-        raise BodyIncomplete(str(error)) from error
-    if len(body) > max_bytes:
-        raise BodyTooLarge
-    return body
-
-
 class ControlApi:
     """WSGI application that answers the control and directory calls from the state of `plane`."""
 
-    def __init__(self, plane: ControlApiPlane, names: Iterable[str]) -> None:
-        """Answer only the calls named in `names`; each listener has its own set."""
+    def __init__(
+        self, plane: ControlApiPlane, names: Iterable[str], memory: MemoryBudget | None = None
+    ) -> None:
+        """Answer only the calls named in `names`; each listener has its own set.
+
+        Args:
+            plane: the control plane.
+            names: names of the calls.
+            memory: budget for long configurations; without limit by default.
+        """
         self.plane = plane
+        self.memory = memory or MemoryBudget()
         self.names = frozenset(names)
         self.handlers: dict[str, Callable[[Call], Response]] = {
             CallName.HEARTBEAT: self.record_heartbeat,
@@ -172,7 +168,8 @@
 
     def __call__(self, environ: dict[str, Any], start_response: Callable[..., Any]) -> list[bytes]:
         """Answer one request (PEP 3333)."""
-        response = self.answer(environ)
+        reservation = Reservation(self.memory)
+        response = self.answer(environ, reservation)
         body = response.body if isinstance(response.body, bytes) else msgspec.json.encode(response.body)
         headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
         if response.status == HTTPStatus.SERVICE_UNAVAILABLE:
@@ -188,16 +185,24 @@
             headers.append(("Connection", "close"))
         phrase = REASON_PHRASES.get(response.status, response.status.phrase)
         start_response(f"{response.status.value} {phrase}", headers)
-        return [body]
+        return ReservedBody(body, reservation)
 
-    def answer(self, environ: dict[str, Any]) -> Response:
-        """Read and execute a call, and answer with its result unless it can't be confirmed."""
+    def answer(self, environ: dict[str, Any], reservation: Reservation) -> Response:
+        """Read and execute a call, and answer with its result unless it can't be confirmed.
+
+        Args:
+            environ: the WSGI environ.
+            reservation: the memory for a long configuration.
+        """
         name, segments = calls.find(environ["REQUEST_METHOD"], environ["PATH_INFO"])
         if name not in self.names:
             return Response.error(HTTPStatus.NOT_FOUND, "no such call")
         max_bytes = MAX_CONFIGURATION_BYTES if name == CallName.PUT_CONFIGURATION else MAX_BODY_BYTES
         try:
+            self._reserve_memory(name, environ, reservation)
             body = read_body(environ, max_bytes)
+        except NoMemory:
+            return self._refuse(Refusal.NO_MEMORY)
         except BodyTooLarge:
             return Response.error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, f"body: at most {max_bytes} bytes")
         except BodyIncomplete as error:
@@ -213,6 +218,17 @@
         response = self._handle(call)
         return self.refusal(call) or response
 
+    def _reserve_memory(self, name: str, environ: dict[str, Any], reservation: Reservation) -> None:
+        """Reserve memory for the configuration that a call brings or returns.
+
+        Raises:
+            NoMemory: it was not available in time.
+        """
+        if name == CallName.PUT_CONFIGURATION:
+            reserve(reservation, announced_bytes(environ, MAX_CONFIGURATION_BYTES), PUT_COPIES)
+        elif name == CallName.GET_CONFIGURATION:
+            reserve(reservation, self.plane.operator_requests.published_bytes(), GET_COPIES)
+
     def _handle(self, call: Call) -> Response:
         try:
             return self.handlers[call.name](call)
@@ -227,8 +243,10 @@
         It is a 503, which leaves the outcome open, so that the caller retries on another controller.
         """
         reason = self._refusal_reason(call)
-        if reason is None:
-            return None
+        return None if reason is None else self._refuse(reason)
+
+    def _refuse(self, reason: Refusal) -> Response:
+        """Count a call that can't be confirmed, and return the response to it."""
         self.plane.count_refusal(reason)
         return Response.error(HTTPStatus.SERVICE_UNAVAILABLE, reason)
 
@@ -313,6 +331,15 @@
         environ[ENVIRON_CALLER_DISCONNECTED] = self.caller_disconnected
         return environ
 
+    def _sendall(self, data: bytes) -> None:
+        """Send data; a caller that does not read it in time loses its connection."""
+        try:
+            with gevent.Timeout(SEND_TIMEOUT_S):
+                super()._sendall(data)
+        except gevent.Timeout:
+            # The server closes the connection.
+            raise OSError(errno.EPIPE, "the caller does not read") from None
+
     def caller_disconnected(self) -> bool:
         """Return whether the caller closed its connection; bytes of a next request mean that it is open."""
         try:
@@ -323,11 +350,16 @@
             return True
 
 
-def listen(address: tuple[str, int], plane: ControlApiPlane, names: Iterable[str]) -> pywsgi.WSGIServer:
-    """Create, but do not start, a server for the named calls at an address."""
+def listen(
+    address: tuple[str, int],
+    plane: ControlApiPlane,
+    names: Iterable[str],
+    memory: MemoryBudget | None = None,
+) -> pywsgi.WSGIServer:
+    """Create, but do not start, a server for the named calls at an address; see `ControlApi`."""
     return pywsgi.WSGIServer(
         address,
-        ControlApi(plane, names),
+        ControlApi(plane, names, memory),
         log=None,
         error_log=None,
         backlog=LISTEN_BACKLOG,
--- a/flintreach/controller/operator_requests.py
+++ b/flintreach/controller/operator_requests.py
@@ -121,6 +121,10 @@
             CONFIGURATION_KEY, lambda current: configuration_history.put(current, number, body), may_proceed
         )
 
+    def published_bytes(self) -> int:
+        """Length in bytes of the published configuration; 0 if there is none."""
+        return len(self.plane.updates.get(CONFIGURATION_KEY) or b"")
+
     def get(self) -> tuple[bool, bytes | None]:
         """Read the current configuration.
 
--- a/flintreach/controller/program.py
+++ b/flintreach/controller/program.py
@@ -18,6 +18,7 @@
 from flintreach.consensus.store import Store, StoreError
 from flintreach.controller.control_plane import ControlPlane
 from flintreach.controller.http_api import CallName, listen
+from flintreach.controller.request_body import configuration_memory
 from flintreach.controller.views import Row
 from flintreach.membership.failure_detector import FailureDetector
 from flintreach.membership.member_list import LEFT, Member
@@ -103,10 +104,11 @@
         Raises:
             OSError: an address can't be bound; see `listening.bind_when_available`.
         """
+        memory = configuration_memory(self.node.identity.limits.memory_mb)
         for listener, names in LISTENER_CALLS:
             if listener in self.node.network.listen_addresses:
                 address = parse_address(self.node.network.listen_addresses[listener])
-                server = listen(address, self.plane, names)
+                server = listen(address, self.plane, names, memory)
                 bind_when_available(server.start, address)
                 self.servers.append(server)
 
--- a/flintreach/proxy/attempt.py
+++ b/flintreach/proxy/attempt.py
@@ -9,13 +9,13 @@
 
 import gevent
 
+from flintreach.common.memory_budget import MemoryBudget
 from flintreach.dissemination.load_aggregate import LoadAggregate
 from flintreach.proxy.balancing import EJECTION_CONNECTION_LIMIT_NS, idle_timeout_ns
 from flintreach.proxy.connection import IDLE_LIMIT_NS
 from flintreach.proxy.endpoint import EndpointView
 from flintreach.proxy.exchange import MISDIRECTED_REQUEST, ExchangeOptions, Outcome, exchange
 from flintreach.proxy.health_check import HealthChecker, confirms_presence
-from flintreach.proxy.memory_budget import MemoryBudget
 from flintreach.proxy.metrics import (
     AT_CONNECTION_LIMIT,
     CANCELLED_ATTEMPTS,
--- a/flintreach/proxy/client_listener.py
+++ b/flintreach/proxy/client_listener.py
@@ -19,7 +19,7 @@
 from flintreach.proxy.caller import Caller, ClientDisconnected, HangupMonitor
 from flintreach.proxy.exchange import MAX_JOINED_BODY_BYTES
 from flintreach.proxy.forwarding import Forwarder
-from flintreach.proxy.memory_budget import RequestMemory
+from flintreach.proxy.message_memory import RequestMemory
 from flintreach.proxy.metrics import NO_MEMORY
 from flintreach.proxy.request import (
     NO_CONTENT,
--- a/flintreach/proxy/exchange.py
+++ b/flintreach/proxy/exchange.py
@@ -13,8 +13,9 @@
 
 import gevent
 
+from flintreach.common.memory_budget import MemoryBudget, Reservation
 from flintreach.proxy.connection import IDLE_LIMIT_NS, Connection, ConnectionPool, was_rejected
-from flintreach.proxy.memory_budget import GROWTH_FACTOR, MAX_SHORT_BODY_BYTES, MemoryBudget, Reservation
+from flintreach.proxy.message_memory import GROWTH_FACTOR, MAX_SHORT_BODY_BYTES
 from flintreach.proxy.outcome import OutcomeKind
 from flintreach.proxy.response import HTTPParseError, Response, ResponseParser
 
--- a/flintreach/proxy/forwarding.py
+++ b/flintreach/proxy/forwarding.py
@@ -30,7 +30,7 @@
 from flintreach.proxy.hedging import Hedge, HedgedOutcome
 from flintreach.proxy.in_flight import DrainTimeout, InFlightRequests
 from flintreach.proxy.link_admission import MAX_WAIT_FRACTION, LinkAdmission
-from flintreach.proxy.memory_budget import NO_LIMIT, message_memory
+from flintreach.proxy.message_memory import NO_LIMIT, message_memory
 from flintreach.proxy.metrics import (
     BUDGET_EXHAUSTED,
     CLIENT_DISCONNECTED,
--- a/flintreach/proxy/health_check.py
+++ b/flintreach/proxy/health_check.py
@@ -13,9 +13,9 @@
 import gevent
 from gevent.event import Event
 
+from flintreach.common.memory_budget import MemoryBudget
 from flintreach.proxy.endpoint import EndpointView
 from flintreach.proxy.exchange import NS_PER_S, ExchangeOptions, exchange
-from flintreach.proxy.memory_budget import MemoryBudget
 from flintreach.proxy.metrics import HEALTH_CHECKS, Metrics
 from flintreach.proxy.response import Response
 from flintreach.proxy.view import RoutingView
--- a/flintreach/proxy/request.py
+++ b/flintreach/proxy/request.py
@@ -2,9 +2,10 @@
 
 from dataclasses import dataclass, field
 
+from flintreach.common.memory_budget import Reservation
 from flintreach.proxy.caller import Caller
 from flintreach.proxy.connection import Connection
-from flintreach.proxy.memory_budget import RequestMemory, Reservation
+from flintreach.proxy.message_memory import RequestMemory
 from flintreach.proxy.response import Response
 
 NS_PER_MS = 1_000_000
--- a/flintreach/proxy/response.py
+++ b/flintreach/proxy/response.py
@@ -7,7 +7,7 @@
 
 from geventhttpclient._parser import HTTPParseError, HTTPResponseParser
 
-from flintreach.proxy.memory_budget import Reservation
+from flintreach.common.memory_budget import Reservation
 
 __all__ = ["HTTPParseError", "Response", "ResponseParser", "parse_count"]
 
--- a/tests/controller/test_http_api.py
+++ b/tests/controller/test_http_api.py
@@ -4,12 +4,15 @@
 from collections.abc import Callable, Iterator
 from types import SimpleNamespace
 from typing import Any
+from unittest import mock
 
 import gevent
 import gevent.socket
 import msgspec
 
 from flintreach.api import calls
+from flintreach.common.memory_budget import MemoryBudget, Reservation
+from flintreach.controller import request_body
 from flintreach.controller.http_api import (
     MAX_BODY_BYTES,
     MAX_CONFIGURATION_BYTES,
@@ -19,6 +22,7 @@
 )
 from flintreach.controller.operator_requests import RequestOutcome
 from flintreach.controller.quorum_contact import MAX_CHECK_GAP_S, RESUME_DELAY_S, QuorumContact
+from flintreach.controller.request_body import MAX_SHORT_CONFIGURATION_BYTES, PUT_COPIES, BodyIncomplete
 from flintreach.transport import peer_connection
 from tests.controller.simulated_peers import ALL_CALLS, FakePlane, call_api, configuration_body
 
@@ -54,7 +58,9 @@
             self.put_bodies.append(body)
             return RequestOutcome.ACCEPTED
 
-        self.api = ControlApi(FakePlane(operator_requests=SimpleNamespace(put=put)), ALL_CALLS)
+        self.put = put
+        plane = FakePlane(operator_requests=SimpleNamespace(put=put, published_bytes=lambda: 0))
+        self.api = ControlApi(plane, ALL_CALLS)
 
     def test_a_body_above_the_limit_is_rejected_by_its_content_length_and_left_unread(self) -> None:
         self.assertLessEqual(2 * MAX_CONFIGURATION_BYTES, peer_connection.MAX_MESSAGE_BYTES)
@@ -81,6 +87,29 @@
         self.assertEqual(call_api(self.api, "POST", PUT_PATH, body)[0], 200)
         self.assertEqual(self.put_bodies, [body])
 
+    def test_a_long_configuration_waits_for_memory_and_is_refused_without(self) -> None:
+        length = MAX_SHORT_CONFIGURATION_BYTES + 1
+        plane = FakePlane(operator_requests=SimpleNamespace(put=self.put, published_bytes=lambda: length))
+        memory = MemoryBudget(PUT_COPIES * length)
+        api = ControlApi(plane, ALL_CALLS, memory)
+        held = Reservation(memory)
+        held.grow_to(memory.capacity_bytes)
+        body = configuration_body(1).ljust(length)
+        with mock.patch.object(request_body, "MEMORY_TIMEOUT_S", 0.01):
+            for method, path in (("POST", PUT_PATH), ("GET", "/v1/timetable/get")):
+                status, _, headers, _ = call_api(api, method, path, body)
+                self.assertEqual((status, "Retry-After" in headers), (503, True), path)
+        self.assertEqual(self.put_bodies, [])
+        self.assertEqual(call_api(api, "POST", PUT_PATH, configuration_body(1))[0], 200)
+        held.release()
+        self.assertEqual(call_api(api, "POST", PUT_PATH, body)[0], 200)
+        self.assertEqual(memory.used_bytes, 0)
+
+    def test_a_body_that_is_not_received_in_time_is_a_bad_request(self) -> None:
+        environ = {"wsgi.input": SimpleNamespace(read=lambda _: gevent.sleep(1))}
+        with mock.patch.object(request_body, "BODY_TIMEOUT_S", 0.01), self.assertRaises(BodyIncomplete):
+            request_body.read_body(environ, 10)
+
     def test_a_body_that_ends_early_is_a_bad_request(self) -> None:
         status, answer, _, _ = call_api(self.api, "POST", PUT_PATH, b"{", content_length=50)
         self.assertEqual((status, answer["fault"][:5]), (400, "body:"))
@@ -147,6 +176,7 @@
                 put=handler_returning("put", RequestOutcome.ACCEPTED),
                 evacuate=handler_returning("evacuate", RequestOutcome.ACCEPTED),
                 get=handler_returning("get", lambda: (True, self.configuration)),
+                published_bytes=lambda: 0,
             ),
             endpoints=SimpleNamespace(
                 record_heartbeat=handler_returning("beat", True), sign_off=handler_returning("leave", True)
--- a/tests/demo/test_memory_limit.py
+++ b/tests/demo/test_memory_limit.py
@@ -1,5 +1,6 @@
 """Real processes with many long messages at once stay within `memory_mb` of their settings (issue 64)."""
 
+import json
 import os
 import socket
 import time
@@ -7,20 +8,26 @@
 from functools import partial
 
 import gevent
+from geventhttpclient import HTTPClient
 
+from flintreach.controller.http_api import MAX_CONFIGURATION_BYTES
 from flintreach.demo.cluster import (
     CONTROLLER_ROLE,
     PROXY_ROLE,
+    PUT_PATH,
     DemoCluster,
     Machine,
     ProxyResponse,
 )
 from flintreach.demo.configuration import CONFIGURATION, HOST, PLAIN_SERVICE
+from flintreach.standins.endpoint import post_acknowledged
 from tests.demo.test_cluster import WAIT_BOUND_S, free_port
 
 MB = 1 << 20
 MEMORY_MB = 300  # of a machine in the smallest deployment
 PATIENT = {"X-Time-Left-Ms": "20000"}
+CALL_TIMEOUT_S = 10.0
+CONFIGURATION_OVERHEAD_BYTES = 16 << 10  # more than the demo's configuration has
 
 
 def peak_memory_mb(machine: Machine) -> float:
@@ -91,6 +98,32 @@
         gevent.sleep(3)
         self.assert_within_limit(self.proxy)
 
+    def test_long_configurations(self) -> None:
+        note = "y" * (MAX_CONFIGURATION_BYTES - CONFIGURATION_OVERHEAD_BYTES)
+        bodies = [
+            json.dumps({**CONFIGURATION, "edition": f"{number:08x}", "note": note}).encode()
+            for number in range(2, 42)
+        ]
+        ip, port = self.cluster.control_addresses()[0]
+        put = partial(post_acknowledged, ip, port, PUT_PATH, timeout=CALL_TIMEOUT_S)
+        clients = [gevent.spawn(put, body) for body in bodies]
+        acknowledged = [client.get() for client in clients]
+        self.assertTrue(any(acknowledged))
+        readers = [gevent.spawn(self.read_configuration, ip, port) for _ in range(len(bodies))]
+        self.assertIn(200, {reader.get() for reader in readers})
+        self.assert_within_limit(self.controller)
+        self.assert_within_limit(self.proxy)
+        self.assertTrue(put(json.dumps({**CONFIGURATION, "edition": f"{100:08x}"}).encode()))
+
+    def read_configuration(self, ip: str, port: int) -> int:
+        client = HTTPClient(ip, port, network_timeout=CALL_TIMEOUT_S)
+        try:
+            response = client.get("/v1/timetable/get")
+            response.read()
+            return response.status_code
+        finally:
+            client.close()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/proxy/test_fuzz.py
+++ b/tests/proxy/test_fuzz.py
@@ -9,7 +9,7 @@
 from flintreach.config.configuration import RequestLimits
 from flintreach.proxy.caller import Caller
 from flintreach.proxy.client_listener import ClientHandler
-from flintreach.proxy.memory_budget import NO_LIMIT, message_memory
+from flintreach.proxy.message_memory import NO_LIMIT, message_memory
 from flintreach.proxy.metrics import Metrics
 from flintreach.proxy.request import ClientResponse, Request
 from flintreach.proxy.request_parser import BadRequest, ByteSource, parse_head
--- a/tests/proxy/test_memory_budget.py
+++ b/tests/proxy/test_message_memory.py
@@ -1,4 +1,4 @@
-"""Tests of `MemoryBudget`, and of requests that wait for memory."""
+"""Tests of the bounds on the memory of requests and responses."""
 
 import unittest
 
@@ -6,15 +6,10 @@
 from gevent import socket
 from gevent.event import Event
 
+from flintreach.common.memory_budget import MemoryBudget, Reservation
 from flintreach.config.configuration import RequestLimits
 from flintreach.proxy.client_listener import ClientListener
-from flintreach.proxy.memory_budget import (
-    NO_LIMIT,
-    MemoryBudget,
-    MessageMemory,
-    Reservation,
-    message_memory,
-)
+from flintreach.proxy.message_memory import NO_LIMIT, MessageMemory, message_memory
 from flintreach.proxy.metrics import NO_MEMORY, Metrics
 from flintreach.proxy.request import ClientResponse, Request
 
@@ -22,62 +17,7 @@
 LONG_BODY_BYTES = 200_000
 
 
-class Budgets(unittest.TestCase):
-    def setUp(self) -> None:
-        self.budget = MemoryBudget(100)
-
-    def reserved(self, size: int) -> Reservation:
-        reservation = Reservation(self.budget)
-        self.assertTrue(reservation.grow_to(size, 0))
-        return reservation
-
-    def test_a_reservation_beyond_the_capacity_waits_until_memory_is_released(self) -> None:
-        first = self.reserved(60)
-        second = Reservation(self.budget)
-        self.assertFalse(second.grow_to(60, SHORT_WAIT_S))
-        waiting = gevent.spawn(second.grow_to, 60)
-        gevent.sleep(0)
-        first.release()
-        self.assertTrue(waiting.get(timeout=1))
-        self.assertEqual(self.budget.used_bytes, 60)
-
-    def test_a_single_reservation_may_exceed_the_capacity(self) -> None:
-        alone = self.reserved(150)
-        self.assertFalse(Reservation(self.budget).grow_to(1, 0))
-        alone.release()
-        self.assertEqual(self.budget.used_bytes, 0)
-
-    def test_waiting_reservations_are_granted_in_order_of_arrival(self) -> None:
-        first = self.reserved(90)
-        long = gevent.spawn(Reservation(self.budget).grow_to, 80)
-        gevent.sleep(0)
-        short = Reservation(self.budget)
-        self.assertFalse(short.grow_to(10, SHORT_WAIT_S))  # fits, and would keep the long one waiting
-        first.release()
-        self.assertTrue(long.get(timeout=1))
-
-    def test_one_that_holds_memory_grows_before_those_that_wait_for_it(self) -> None:
-        growing = self.reserved(50)
-        gevent.spawn(Reservation(self.budget).grow_to, 70)
-        gevent.sleep(0)
-        self.assertTrue(growing.grow_to(120, 0))
-
-    def test_one_that_gives_up_lets_those_behind_it_in(self) -> None:
-        held = self.reserved(50)
-        gevent.spawn(Reservation(self.budget).grow_to, 80, SHORT_WAIT_S)
-        gevent.sleep(0)
-        self.assertTrue(Reservation(self.budget).grow_to(20, 1))
-        held.release()
-
-    def test_a_dropped_or_cancelled_reservation_is_released(self) -> None:
-        reservation = self.reserved(100)
-        waiting = gevent.spawn(Reservation(self.budget).grow_to, 50)
-        gevent.sleep(0)
-        waiting.kill()
-        self.assertFalse(self.budget.waiting)
-        del reservation
-        self.assertEqual(self.budget.used_bytes, 0)
-
+class Limits(unittest.TestCase):
     def test_no_limit(self) -> None:
         budgets = message_memory(NO_LIMIT)
         reservations = [Reservation(budgets.request_bodies) for _ in range(3)]
