Any exception while a controller begins to serve ends it with a line that says why

Cause: only OSError did. After any other exception the loop that had called went on, and as serving was marked as begun it was not tried again: the process ran without its listeners, and nothing but one line told so.

--- a/flintreach/controller/program.py
+++ b/flintreach/controller/program.py
@@ -77,7 +77,7 @@
         self.peer_pool.handlers[SHOW_MESSAGE] = self.on_show
         self.servers: list[pywsgi.WSGIServer] = []
         self.stopping = Event()
-        self.listen_error: OSError | None = None
+        self.start_error: Exception | None = None
 
     def seeds(self) -> list[Address]:
         """Return the seed addresses from the current settings."""
@@ -88,11 +88,14 @@
         return sorted({*self.seeds(), *self.plane.register.voters.members()})
 
     def start_serving(self) -> None:
-        """Start the API listeners, and announce this controller as ready; end the process if that fails."""
+        """Start the API listeners, and announce this controller as ready; end the process if that fails.
+
+        The caller calls it once, so a controller that went on after an exception would never serve.
+        """
         try:
             self.start_listeners()
-        except OSError as error:
-            self.listen_error = error
+        except Exception as error:
+            self.start_error = error
             self.stopping.set()
             return
         self.failure_detector.update_local(ready=True)
@@ -120,7 +123,7 @@
         """Run until SIGTERM; return the exit status.
 
         Raises:
-            OSError: an address can't be bound.
+            Exception: an address can't be bound, or serving failed to start for another reason.
         """
         self.peer_pool.start()
         self.start_log.enter(StartStage.LISTENING)
@@ -130,8 +133,8 @@
         gevent.spawn(run_loop, partial(settings.watch, self.reload_settings, gevent.sleep))
         self.plane.start()
         self.stopping.wait()
-        if self.listen_error is not None:
-            raise self.listen_error
+        if self.start_error is not None:
+            raise self.start_error
         # Voting is handed over before the departure is announced to the other members.
         self.plane.repair.voter_manager.hand_over()
         self.failure_detector.update_local(state=LEFT)
