Bodies and responses that arrive as fast as they are read let other tasks run

Cause: gevent's `recv` gives way to other tasks only if no data has arrived. A body of 60 MB in chunks of 32 bytes kept a proxy's event loop busy for seconds ("fails to hand back the processor"); an endpoint's response in small chunks could do the same.

Change: the reader of requests and the reader of responses yield after some reads.

The two new tests fail on the code before.

--- a/flintreach/proxy/exchange.py
+++ b/flintreach/proxy/exchange.py
@@ -35,6 +35,9 @@
 
 READ_SIZE = 65536
 
+# Other tasks run after so many reads: receiving gives way to them only if no data has arrived.
+READS_BETWEEN_YIELDS = 4
+
 # Up to this length, a body is sent together with its head.
 MAX_JOINED_BODY_BYTES = 65536
 
@@ -153,6 +156,7 @@
         "is_acknowledged",
         "parser",
         "received_bytes",
+        "reads",
         "memory",
         "reusable",
     )
@@ -173,6 +177,7 @@
         self.is_acknowledged = False  # the endpoint's machine has acknowledged all bytes
         self.parser = ResponseParser(to_head=head.startswith(b"HEAD "))
         self.received_bytes = 0
+        self.reads = 0
         self.memory = Reservation(options.memory)
         self.reusable = False
 
@@ -234,6 +239,9 @@
         expected_bytes = max(self.received_bytes, self.parser.announced_bytes())
         if expected_bytes > MAX_SHORT_BODY_BYTES:
             self.memory.grow_to(int(expected_bytes * GROWTH_FACTOR) + READ_SIZE)
+        self.reads += 1
+        if self.reads % READS_BETWEEN_YIELDS == 0:
+            gevent.sleep(0)
         return self.connection.sock.recv(READ_SIZE)
 
     def should_stop_reading(self) -> bool:
--- a/flintreach/proxy/request_parser.py
+++ b/flintreach/proxy/request_parser.py
@@ -7,10 +7,15 @@
 from collections.abc import Callable, Iterator
 from typing import Protocol
 
+import gevent
+
 from flintreach.proxy.request import Request
 
 READ_SIZE = 65536
 
+# Other tasks run after so many reads from the buffer: receiving gives way only if no data has arrived.
+READS_BETWEEN_YIELDS = 64
+
 END_OF_LINE = b"\r\n"
 
 # Memory that is reserved at a time for a body of unknown length; at least `READ_SIZE`.
@@ -68,12 +73,20 @@
     Attributes:
         buffer: bytes that were received but not yet consumed.
         ended: whether the end of the stream was reached.
+        reads: number of reads from the buffer.
     """
 
     def __init__(self, sock: ReceivingSocket) -> None:
         self.sock = sock
         self.buffer = bytearray()
         self.ended = False
+        self.reads = 0
+
+    def count_read(self) -> None:
+        """Count a read from the buffer, and let other tasks run after some of them."""
+        self.reads += 1
+        if self.reads % READS_BETWEEN_YIELDS == 0:
+            gevent.sleep(0)
 
     def receive(self) -> bool:
         """Receive more bytes into the buffer; False at the end of the stream."""
@@ -98,6 +111,7 @@
             piece = bytes(self.buffer[: min(size, READ_SIZE)])
             del self.buffer[: len(piece)]
             size -= len(piece)
+            self.count_read()
             yield piece
 
     def read_until(self, delimiter: bytes, max_bytes: int) -> bytes | None:
@@ -117,6 +131,7 @@
             raise BadRequest(431)
         taken = bytes(self.buffer[:index])
         del self.buffer[: index + len(delimiter)]
+        self.count_read()
         return taken
 
 
--- a/tests/proxy/test_exchange.py
+++ b/tests/proxy/test_exchange.py
@@ -2,13 +2,16 @@
 
 import time
 import unittest
+from types import SimpleNamespace
 from unittest import mock
 
+import gevent
 import gevent.socket
 
 from flintreach.proxy.connection import Connection, ConnectionPool
-from flintreach.proxy.exchange import NS_PER_S, ExchangeOptions, exchange
+from flintreach.proxy.exchange import NS_PER_S, Exchange, ExchangeOptions, exchange
 from flintreach.proxy.outcome import OutcomeKind
+from tests.proxy.test_request_parser import TURN_BYTES, FastSender
 
 
 class Exchanges(unittest.TestCase):
@@ -25,6 +28,23 @@
             (OutcomeKind.UNSENT, True, False),
         )
 
+    def test_a_response_that_arrives_as_fast_as_it_is_read_lets_other_tasks_run(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nX-Try-Id: i\r\nX-Postmark: e\r\nTransfer-Encoding: chunked\r\n\r\n"
+        sender = FastSender(head + (b"20\r\n" + bytes(32) + b"\r\n") * 100_000 + b"0\r\n\r\n")
+        sender.send = len
+        options = ExchangeOptions(time.monotonic_ns() + 9 * NS_PER_S, 1.0)
+        response = Exchange(SimpleNamespace(sock=sender), b"GET / HTTP/1.1\r\n\r\n", b"", "i", options)
+        positions: list[int] = []
+
+        def run_beside() -> None:
+            while sender.position < len(sender.data):
+                positions.append(sender.position)
+                gevent.sleep(0)
+
+        gevent.spawn(run_beside)
+        self.assertEqual(response.run().kind, OutcomeKind.ANSWERED)
+        self.assertGreater(len(positions), len(sender.data) // TURN_BYTES)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/proxy/test_request_parser.py
+++ b/tests/proxy/test_request_parser.py
@@ -1,8 +1,52 @@
-"""Tests of `parse_head`."""
+"""Tests of `parse_head` and `read_body`."""
 
 import unittest
 
-from flintreach.proxy.request_parser import BadRequest, parse_head
+import gevent
+
+from flintreach.proxy.request import Request
+from flintreach.proxy.request_parser import BadRequest, ByteSource, parse_head, read_body
+
+TURN_BYTES = 8 << 20  # upper bound on what may be read before another task runs
+
+
+class FastSender:
+    """A socket whose next bytes have always arrived."""
+
+    def __init__(self, data: bytes) -> None:
+        self.data = data
+        self.position = 0
+
+    def recv(self, size: int) -> bytes:
+        piece = self.data[self.position : self.position + size]
+        self.position += len(piece)
+        return piece
+
+
+class Bodies(unittest.TestCase):
+    def test_a_body_that_arrives_as_fast_as_it_is_read_lets_other_tasks_run(self) -> None:
+        """Guards against a proxy that answered nobody else for seconds while it read small chunks."""
+        chunked = {"transfer-encoding": "chunked"}
+        plain = {"content-length": str(4 * TURN_BYTES)}
+        cases = (
+            (chunked, b"20\r\n" + bytes(32) + b"\r\n", TURN_BYTES // 32, b"0\r\n\r\n"),
+            (plain, bytes(65536), 4 * TURN_BYTES // 65536, b""),
+        )
+        for headers, piece, count, end in cases:
+            sender = FastSender(piece * count + end)
+            positions = [0]
+
+            def run_beside(sender: FastSender = sender, positions: list[int] = positions) -> None:
+                while sender.position < len(sender.data):
+                    positions.append(sender.position)
+                    gevent.sleep(0)
+
+            other_task = gevent.spawn(run_beside)
+            request = Request("POST", "/", [], headers_by_name=headers)
+            read_body(ByteSource(sender), request, len(sender.data))
+            other_task.join()
+            turns = [later - earlier for earlier, later in zip(positions, positions[1:], strict=False)]
+            self.assertLess(max(turns, default=len(sender.data)), TURN_BYTES, headers)
 
 
 class Heads(unittest.TestCase):
