The soak disturbs the first start, bounds memory and sends long bodies

Change: `soak/first_start.py` kills, stops and signals several machines at once while they start, and starts them again with `first_run` false; the processes have `memory_mb`, and more is a violation; a client sends long bodies; an end by a signal is excused only before the process has written its first line, that is while the interpreter itself starts.

--- a/flintreach/demo/cluster.py
+++ b/flintreach/demo/cluster.py
@@ -46,6 +46,7 @@
 REQUEST_TIME_LEFT_MS = 3000
 EXIT_POLL_S = 0.01
 WAIT_POLL_S = 0.05
+KB_PER_MB = 1024
 
 
 @dataclass
@@ -62,6 +63,7 @@
     module: str = "flintreach"  # run with the role as its argument
     environ: dict[str, str] = field(default_factory=dict)
     started_at: float = 0.0  # monotonic seconds
+    log_bytes_at_start: int = 0  # length of the log at the last start
 
     @property
     def settings_path(self) -> str:
@@ -73,6 +75,24 @@
         """Directory of the process's persistent state."""
         return os.path.join(self.work_dir, "disk")
 
+    @property
+    def log_path(self) -> str:
+        """File that the process's output is appended to."""
+        return os.path.join(self.work_dir, "log")
+
+    def has_logged(self) -> bool:
+        """Return whether the process has written to its log since its last start."""
+        return os.path.getsize(self.log_path) > self.log_bytes_at_start
+
+    def peak_memory_mb(self) -> float:
+        """The most memory that the process has had resident since its start; 0 if it has exited."""
+        try:
+            with open(f"/proc/{self.process.pid}/status", encoding="ascii") as file:
+                peaks = [line.split()[1] for line in file if line.startswith("VmHWM:")]
+        except OSError:
+            return 0.0
+        return int(peaks[0]) / KB_PER_MB if peaks else 0.0
+
     def is_running(self) -> bool:
         """Return whether the process has been started and has not exited."""
         return self.process is not None and self.process.poll() is None
@@ -82,10 +102,11 @@
         return time.monotonic() - self.started_at
 
     def start(self) -> None:
-        """Start the process, appending its output to the file `log` in its working directory."""
+        """Start the process, appending its output to `log_path`."""
         environ = {**os.environ, PATH_VARIABLE: self.settings_path, **self.environ}
         self.started_at = time.monotonic()
-        with open(os.path.join(self.work_dir, "log"), "ab") as log:
+        with open(self.log_path, "ab") as log:
+            self.log_bytes_at_start = os.path.getsize(self.log_path)
             self.process = subprocess.Popen(
                 [sys.executable, "-m", self.module, self.role], env=environ, stdout=log, stderr=log
             )
--- a/flintreach/soak/__main__.py
+++ b/flintreach/soak/__main__.py
@@ -17,11 +17,12 @@
     proxies: int = typer.Option(3, help="proxy processes"),
     clients: int = typer.Option(12, help="clients, a third of each connection mode"),
     at_once: int = typer.Option(3, help="number of concurrent faults"),
+    memory_mb: float = typer.Option(300, help="memory limit of each process"),
     base: str = typer.Option("127.45.7", help="first three octets of a loopback network"),
     port: int = typer.Option(7700, help="first of six consecutive ports"),
 ) -> None:
     """Run soaks in turn and print a JSON line for each; exit with 1 if an invariant was broken."""
-    plan = SoakPlan(seconds, mix, controllers, proxies, clients, at_once)
+    plan = SoakPlan(seconds, mix, controllers, proxies, clients, at_once, memory_mb)
     broken = 0
     for seed in range(first, first + seeds):
         verdict = Soak(seed, plan, base, port).run()
--- a/flintreach/soak/checker.py
+++ b/flintreach/soak/checker.py
@@ -38,6 +38,7 @@
     UNEXPECTED_EXIT: a process exited by itself, or did not exit in time and with status 0 after SIGTERM.
     COUNTED_BY_PROXY: a proxy counted a violation (`VIOLATION_COUNTERS`).
     CONFIGURATION_LOST: at the end, the newest acknowledged configuration is not in force at some proxy.
+    MEMORY: a process has used more memory than its settings grant.
     STARTUP: the cluster did not serve requests in time after its start.
     """
 
@@ -50,6 +51,7 @@
     UNEXPECTED_EXIT = "ended"
     COUNTED_BY_PROXY = "counted"
     CONFIGURATION_LOST = "acknowledged"
+    MEMORY = "memory"
     STARTUP = "start"
 
 
--- a/flintreach/soak/clients.py
+++ b/flintreach/soak/clients.py
@@ -1,4 +1,4 @@
-"""Soak clients with one connection per request, with persistent connections, or that disconnect early."""
+"""Soak clients: one connection per request, persistent connections, early disconnects, long bodies."""
 
 import random
 import time
@@ -28,6 +28,10 @@
 PIPELINED_SHARE = 0.3  # with several requests in flight
 RESET_SHARE = 0.3  # closed by a TCP reset
 MAX_DELAY_BEFORE_CLOSE_S = 0.3  # of a client that disconnects early
+# Of a client with long bodies.
+MAX_LONG_BODIES = 4  # at once
+MAX_LONG_BODY_BYTES = 40 << 20
+MAX_LONG_BODY_PAUSE_S = 4.0
 
 
 class MisdeliveredAnswer(Exception):
@@ -48,8 +52,8 @@
         self.sock.settimeout(ANSWER_TIMEOUT_S)
         self.responses = ResponseParser()
 
-    def send(self, request: SentRequest, path: str, key: int) -> None:
-        """Send a request with its id and shard key.
+    def send(self, request: SentRequest, path: str, key: int, padding_bytes: int = 0) -> None:
+        """Send a request with its id and shard key; a write has a body, with padding after it.
 
         Raises:
             OSError: the connection is closed.
@@ -62,9 +66,11 @@
             f"X-Try-Id: {request.id}",
             f"X-Time-Left-Ms: {TIME_LEFT_MS}",
             f"X-Shard-Key: {key}",
-            f"Content-Length: {len(body)}",
+            f"Content-Length: {len(body) + padding_bytes}",
         )
         self.sock.sendall("\r\n".join([*lines, "", ""]).encode() + body)
+        if padding_bytes:
+            self.sock.sendall(bytes(padding_bytes))
 
     def receive(self, request: SentRequest) -> Response | None:
         """Read the next answer, which must belong to this request.
@@ -103,7 +109,7 @@
 
 
 class Client:
-    """A client, which runs in one of three modes, each a method `run_...`.
+    """A client, which runs in one of four modes, each a method `run_...`.
 
     Attributes:
         rng: the client's own random source, seeded with its name.
@@ -135,7 +141,7 @@
         self.history.requests[request_id] = request
         return request
 
-    def send(self, connection: ClientConnection, request: SentRequest) -> None:
+    def send(self, connection: ClientConnection, request: SentRequest, padding_bytes: int = 0) -> None:
         """Send a request with a random path and shard key.
 
         Raises:
@@ -143,13 +149,15 @@
         """
         request.sent_at_ns = time.monotonic_ns()
         path = f"/{request.kind}/{self.rng.randrange(PATH_COUNT)}"
-        connection.send(request, path, self.rng.randrange(KEY_COUNT))
+        connection.send(request, path, self.rng.randrange(KEY_COUNT), padding_bytes)
 
-    def exchange(self, connection: ClientConnection, request: SentRequest) -> Response | None:
+    def exchange(
+        self, connection: ClientConnection, request: SentRequest, padding_bytes: int = 0
+    ) -> Response | None:
         """Send a request and return its answer, or None if the connection was closed."""
         response = None
         try:
-            self.send(connection, request)
+            self.send(connection, request, padding_bytes)
             response = connection.receive(request)
         except OSError:
             pass  # the checker decides whether losing the request was allowed
@@ -193,6 +201,24 @@
                 gevent.sleep(self.rng.uniform(0, REQUEST_INTERVAL_S))
             connection.close()
 
+    def run_with_long_bodies(self) -> None:
+        """Send several writes with long bodies at once, each on a new connection."""
+        while not self.stopping():
+            machine = self.rng.choice(self.machines())
+            count = self.rng.randint(1, MAX_LONG_BODIES)
+            gevent.joinall([gevent.spawn(self.send_long_body, machine) for _ in range(count)])
+            gevent.sleep(self.rng.uniform(0.0, MAX_LONG_BODY_PAUSE_S))
+
+    def send_long_body(self, machine: Machine) -> None:
+        """Send one write with a long body."""
+        try:
+            connection = ClientConnection(machine)
+        except OSError:
+            return
+        request = self.next_request(machine, kinds=(RequestKind.WRITE,))
+        self.exchange(connection, request, self.rng.randint(0, MAX_LONG_BODY_BYTES))
+        connection.close()
+
     def run_with_early_disconnect(self) -> None:
         """Disconnect before the answer, in some cases with several pipelined requests in flight."""
         while not self.stopping():
--- a/flintreach/soak/faults.py
+++ b/flintreach/soak/faults.py
@@ -64,7 +64,7 @@
             self.processes.terminate,
             self.processes.terminate,
             self.processes.terminate_all,
-            self.processes.hang_up,
+            self.processes.hang_up_some,
             self.configurations.configure,
             self.configurations.configure,
             self.membership.replace_proxy,
--- a/flintreach/soak/processes.py
+++ b/flintreach/soak/processes.py
@@ -12,7 +12,6 @@
 
 GRACE_S = 6.0  # the settings' default: time to exit after SIGTERM
 GRACE_SLACK_S = 1.0  # allowance for a shared machine
-SIGNAL_SETUP_S = 3.0  # a process may not handle signals yet for this long after its start
 EXIT_POLL_S = 0.02
 CLAIM_POLL_S = 0.05
 CONTROLLER_RESTART_PAUSE_S = 2.0  # between controllers in a rolling restart
@@ -127,8 +126,8 @@
             machine.stop(signal.SIGKILL)
             self.record_disturbance(machine, began_at_ns)
             return True
-        if process.returncode == -signal.SIGTERM and machine.uptime() < SIGNAL_SETUP_S:
-            return True  # SIGTERM arrived before its handler was installed
+        if process.returncode == -signal.SIGTERM and not machine.has_logged():
+            return True  # the interpreter was still starting
         if process.returncode != 0:
             self.verdict.fail(
                 Violation.UNEXPECTED_EXIT,
@@ -147,24 +146,36 @@
     def supervise(self) -> None:
         """Restart processes that have exited by themselves, as the platform does.
 
-        Such an exit is a violation, unless SIGHUP arrived before the process could ignore or handle it.
+        Such an exit is a violation, unless SIGHUP arrived while the interpreter was still starting.
         """
         for machine in [*self.cluster.machines]:
             status = machine.process.poll()
+            self.check_memory(machine)
             if status is None or machine.name in self.busy:
                 continue
-            if status != -signal.SIGHUP or machine.uptime() > SIGNAL_SETUP_S:
+            if status != -signal.SIGHUP or machine.has_logged():
                 self.verdict.fail(Violation.UNEXPECTED_EXIT, f"{machine.name} exited with status {status}")
             machine.start()
 
+    def check_memory(self, machine: Machine) -> None:
+        """Check that a process has stayed within its memory; the platform would have ended it."""
+        peak_mb = machine.peak_memory_mb()
+        if peak_mb > self.cluster.memory_mb > 0:
+            limit = f"{self.cluster.memory_mb:.0f} MB"
+            self.verdict.fail(Violation.MEMORY, f"{machine.name} used {peak_mb:.0f} of {limit}")
+
     # Signals that do not stop a process.
 
-    def hang_up(self) -> None:
-        """Rewrite the settings of several machines and send them SIGHUP, to some of them three times."""
+    def hang_up_some(self) -> None:
+        """Rewrite the settings of several machines and send them SIGHUP; see `hang_up`."""
         machines = self.cluster.machines
-        for machine in self.rng.sample(machines, self.rng.randint(1, len(machines))):
+        self.hang_up(self.rng.sample(machines, self.rng.randint(1, len(machines))))
+
+    def hang_up(self, machines: list[Machine], first_run: bool = False) -> None:
+        """Rewrite the settings of machines and send them SIGHUP, to some of them three times."""
+        for machine in machines:
             for _ in range(self.rng.choice((1, 1, 3))):
-                self.cluster.write_settings(machine, first_run=False)
+                self.cluster.write_settings(machine, first_run)
                 if machine.process.poll() is None and machine.name not in self.busy:
                     machine.process.send_signal(signal.SIGHUP)
                 gevent.sleep(self.rng.uniform(0.0, 0.1))
--- a/flintreach/soak/run.py
+++ b/flintreach/soak/run.py
@@ -15,6 +15,7 @@
 from flintreach.soak.clients import Client
 from flintreach.soak.faults import Fault, FaultInjector
 from flintreach.soak.final_checks import FinalChecks, serves
+from flintreach.soak.first_start import FirstStartFaults
 from flintreach.soak.history import History
 from flintreach.standins.endpoint import Endpoint, EndpointState
 from flintreach.standins.faulty import PARTITIONS_VARIABLE
@@ -55,8 +56,10 @@
         mix: faults to inject.
         controllers: initial number of controllers.
         proxies: initial number of proxies.
-        clients: number of clients, a third in each mode.
+        clients: number of clients with short bodies, a third in each mode; one more sends long bodies.
         concurrent_faults: number of faults in progress at a time.
+        memory_mb: memory limit of each process.
+        disturbs_first_start: whether faults are injected during the first start.
     """
 
     seconds: float
@@ -65,6 +68,8 @@
     proxies: int = 3
     clients: int = 12
     concurrent_faults: int = 3
+    memory_mb: float = 300
+    disturbs_first_start: bool = True
 
 
 class Soak:
@@ -83,7 +88,7 @@
         self.verdict = Verdict(seed)
         self.history = History()
         self.rng = random.Random(seed)
-        self.cluster = DemoCluster(base, port, plan.controllers, plan.proxies)
+        self.cluster = DemoCluster(base, port, plan.controllers, plan.proxies, memory_mb=plan.memory_mb)
         partitions_path = os.path.join(self.cluster.work_dir, "cuts")
         self.cluster.module = FAULTY_MODULE
         self.cluster.environ = {PARTITIONS_VARIABLE: partitions_path}
@@ -169,7 +174,7 @@
             gevent.sleep(rng.uniform(0.0, 0.5))
 
     def supervise(self) -> None:
-        """Restart exited processes periodically until the soak stops."""
+        """Restart exited processes periodically, and check the others, until the soak stops."""
         while not self.stopping:
             self.faults.processes.supervise()
             gevent.sleep(SUPERVISE_PAUSE_S)
@@ -184,6 +189,10 @@
     def start(self) -> bool:
         """Start machines and endpoints; return whether all proxies serve requests in time."""
         self.cluster.start()
+        gevent.spawn(self.supervise)
+        if self.plan.disturbs_first_start:
+            rng = random.Random(f"{self.verdict.seed} first start")
+            FirstStartFaults(self.cluster, self.faults.processes, rng).run()
         for number in range(PLAIN_ENDPOINTS + SHARDED_ENDPOINTS):
             self.start_endpoint(PLAIN_SERVICE if number < PLAIN_ENDPOINTS else SHARDED_SERVICE, number)
         deadline = time.monotonic() + START_TIMEOUT_S + self.plan.proxies
@@ -193,6 +202,7 @@
 
     def stop(self) -> None:
         """Stop everything, keeping the machines' directories if an invariant was broken."""
+        self.stopping = True
         if self.verdict.broken:
             self.cluster.removes_work_dir = False
             self.verdict.logs = self.cluster.work_dir
@@ -217,12 +227,12 @@
         clients = [self.client(number) for number in range(self.plan.clients)]
         modes = (Client.run_without_keep_alive, Client.run_with_keep_alive, Client.run_with_early_disconnect)
         jobs = [gevent.spawn(modes[number % len(modes)], client) for number, client in enumerate(clients)]
+        jobs.append(gevent.spawn(Client.run_with_long_bodies, self.client(self.plan.clients)))
         for number in range(self.plan.concurrent_faults):
             # The label "trouble" is kept from earlier releases, so that a seed still yields the same faults.
             rng = random.Random(f"{self.verdict.seed} trouble {number}")
             jobs.append(gevent.spawn(self.inject_faults, rng))
         jobs.append(gevent.spawn(self.replace_endpoints))
-        jobs.append(gevent.spawn(self.supervise))
         gevent.sleep(self.plan.seconds)
         self.stopping = True
         self.faults.stop()
--- a/flintreach/standins/faulty.py
+++ b/flintreach/standins/faulty.py
@@ -108,10 +108,11 @@
 
 def main() -> None:
     """Run the program that the command line names."""
-    # `run_program` does the same, but only after the imports below; a SIGHUP before that must not end
-    # the process.
+    # `run_program` does the same, but only after the imports below.
+    from flintreach.__main__ import PROGRAMS, run_program, stop_at_start
+
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    from flintreach.__main__ import PROGRAMS, run_program
+    signal.signal(signal.SIGTERM, stop_at_start)
     from flintreach.config import settings
 
     install(Partitions(os.environ[PARTITIONS_VARIABLE], settings.load().identity.ip))
--- a/tests/demo/test_memory_limit.py
+++ b/tests/demo/test_memory_limit.py
@@ -30,13 +30,6 @@
 CONFIGURATION_OVERHEAD_BYTES = 16 << 10  # more than the demo's configuration has
 
 
-def peak_memory_mb(machine: Machine) -> float:
-    """The most memory that a machine's process has had resident since its start."""
-    with open(f"/proc/{machine.process.pid}/status", encoding="ascii") as file:
-        peak_kb = next(int(line.split()[1]) for line in file if line.startswith("VmHWM:"))
-    return peak_kb / 1024
-
-
 class MemoryLimit(unittest.TestCase):
     def setUp(self) -> None:
         base = f"127.{130 + os.getpid() % 80}.{os.getpid() // 80 % 250}"
@@ -67,7 +60,7 @@
 
     def assert_within_limit(self, machine: Machine) -> None:
         self.assertTrue(machine.is_running())
-        self.assertLess(peak_memory_mb(machine), MEMORY_MB)
+        self.assertLess(machine.peak_memory_mb(), MEMORY_MB)
 
     def test_long_requests(self) -> None:
         """Guards against three requests with bodies of 60 MB that took a proxy over its limit."""
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -47,6 +47,13 @@
         )
         self.assertGreater(statuses[200], 9 * (sum(statuses.values()) - statuses[200]), statuses)
 
+    def test_disturbed_first_start(self) -> None:
+        """All controllers and some proxies are killed or stopped while they start (issue 64)."""
+        soak = new_soak(100, 0, Mix.UNPLANNED)
+        self.addCleanup(soak.stop)
+        self.assertTrue(soak.start())
+        self.assertEqual(soak.verdict.broken, {})
+
     def assert_seed_passes(self, seed: int, mix: Mix) -> Verdict:
         """Run a seed, and assert that no invariant was broken and that enough events occurred."""
         verdict = new_soak(seed, 12.0, mix).run()
