--- a/flintreach/simulation/mutants.py
+++ b/flintreach/simulation/mutants.py
@@ -303,7 +303,7 @@
         "a request that found no quorum is answered as a conflict",
     ),
     "settles-at-once": Mutant(
-        f"{CONTROLLER}.voter_management:",
+        f"{CONTROLLER}.voter_bootstrap:",
         "choose_initial_voters",
         choose_voters_at_once,
         ("voters", "live", "kept", "durable", "known"),
