A draining proxy doesn't close the connection of a client amid its request

Cause: a connection counted as idle while a request was being read, as soon as all that had arrived was consumed; a drain then closed it without an answer. Waiting for memory makes that time longer.

Change: a connection is not idle while a request is being read.

Measured: the new test fails on the code before (one connection closed) and holds after.

--- a/flintreach/proxy/client_listener.py
+++ b/flintreach/proxy/client_listener.py
@@ -94,6 +94,7 @@
 
     Attributes:
         source: buffered reader of the connection.
+        reading: whether a request is being read, or waits for memory before its body is read.
         pending: number of requests that have been read but not yet answered.
         waiting: number of these that are not forwarded before the previous one is answered.
         last_answered: set when the most recent pipelined request has been answered.
@@ -114,6 +115,7 @@
         self.client_address = address
         self.server = server
         self.source = ByteSource(sock)
+        self.reading = False
         self.pending = 0
         self.waiting = 0
         self.last_answered: Event | None = None
@@ -130,6 +132,7 @@
             self.server.hangup_monitor.add(self.socket, self.caller)
             while not self.closing:
                 request = self.read_request()
+                self.reading = False
                 if request is None or self.closing:
                     break
                 self.dispatch(request)
@@ -162,6 +165,7 @@
             if not source.receive():
                 return None
             self.socket.settimeout(None)
+        self.reading = True
         try:
             with gevent.Timeout(limits.header_ms / MS_PER_S):
                 request = self.read_head(limits)
@@ -389,8 +393,8 @@
         self.closing = True
 
     def is_idle(self) -> bool:
-        """Whether no request is pending, including data that is still unread in the socket."""
-        if self.pending or self.lingering or self.source.buffer:
+        """Whether no request is being read or pending, including data that is still unread in the socket."""
+        if self.reading or self.pending or self.lingering or self.source.buffer:
             return False
         try:
             return not self.socket._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
--- a/tests/proxy/test_message_memory.py
+++ b/tests/proxy/test_message_memory.py
@@ -99,6 +99,17 @@
             self.send(b"short")
         self.assertIn(b" 503 ", self.send(b"short", "X-Time-Left-Ms: 100").get(timeout=1))
 
+    def test_a_connection_whose_request_is_being_read_is_not_idle(self) -> None:
+        """Guards against a drain that closed the connection of a client amid its body."""
+        self.forwarder.go_on.set()
+        with socket.create_connection(self.listener.address) as client:
+            client.sendall(b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n12345")
+            gevent.sleep(SHORT_WAIT_S)
+            self.assertEqual(self.listener.close_idle(), 0)
+            client.sendall(b"67890")
+            self.assertIn(b" 200 OK", client.recv(1000))
+            self.assertEqual(self.listener.close_idle(), 1)
+
     def test_a_chunked_body_reserves_memory_as_it_arrives(self) -> None:
         with socket.create_connection(self.listener.address) as client:
             client.sendall(b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n")
