Endpoints of weight 0 neither end a controller's rebalancing nor move ranges

Cause: with an endpoint of weight 0, a move of share 0 passed the check on the least worthwhile share, as that is 0, too. It raised ValueError if the first endpoint had weight 0 and all others were at their target (the owner's writes then fail until that changes), or revoked a holder's whole range.

Change: a share of 0 is no move, and without any weight there is none.

Measured: on the function, two holders at their target and an endpoint of weight 0 before them: ValueError before, no move after; the new test fails on the code before. Not brought about with real processes.

--- a/flintreach/sharding/range_assignment.py
+++ b/flintreach/sharding/range_assignment.py
@@ -318,6 +318,8 @@
     """
     if any(key_range.state != RangeState.HELD for key_range in allocation.ranges):
         return False  # one move at a time
+    if not any(weights.values()):
+        return False  # nobody is preferred to the current holders
     targets = load_targets(weights)
     if _shrink_oversized(allocation, targets):
         return True
@@ -350,7 +352,7 @@
     share = min(
         targets[lowest] - load_shares[lowest], load_shares[highest] - targets[highest], MAX_MOVED_SHARE
     )
-    if share < MIN_MOVED_FACTOR * targets[lowest]:
+    if share <= 0 or share < MIN_MOVED_FACTOR * targets[lowest]:
         return False
     return revoke_share(allocation, highest, share, load)
 
--- a/tests/sharding/test_range_assignment.py
+++ b/tests/sharding/test_range_assignment.py
@@ -96,6 +96,18 @@
         self.assertLess(max(load_shares.values()), range_assignment.OVERLOADED_FACTOR / 8 + 0.01)
         self.assertLess(moves, 12)
 
+    def test_endpoints_without_weight_receive_no_keys_and_disturb_nobody(self) -> None:
+        """Guards against a move to an endpoint with weight 0, which raised or revoked a whole range."""
+        holders = ["h0", "h1", "h2"]
+        allocation = assign_all_keys(dict.fromkeys(holders, 1.0), {id: f"{id}:80" for id in holders})
+        before = allocation.encode()
+        for weights in ({"a": 0.0, **dict.fromkeys(holders, 1.0)}, {**dict.fromkeys(holders, 1.0), "z": 0.0}):
+            self.assertFalse(range_assignment.rebalance(allocation, weights, UNIFORM_LOAD, {*holders}))
+        self.assertFalse(
+            range_assignment.rebalance(allocation, {"a": 0.0, "h0": 0.0}, UNIFORM_LOAD, {"a", "h0"})
+        )
+        self.assertEqual(allocation.encode(), before)
+
     def test_keys_move_to_a_region_in_bounded_steps_and_stay(self) -> None:
         endpoints = {f"{region}{i}": 1.0 for region in "ns" for i in range(4)}
         addresses = {id: f"{id}:80" for id in endpoints}
