A value that can't be stored fails its write instead of ending the store's writer

Cause: the writer caught `sqlite3.Error` alone. Any other exception, such as an OverflowError for a number beyond 64 bits in a peer's message, ended its task: all later writes waited for ever, and the controller with them.

Change: any exception fails the batch, and the connection is opened anew. A log line `store_writes` tells when writes begin to fail, why, and when they succeed again: a full or refusing disk left no trace before.

Measured: the new test runs into its 5 s on the code before, and holds after.

--- a/flintreach/consensus/store.py
+++ b/flintreach/consensus/store.py
@@ -14,6 +14,7 @@
 from gevent.threadpool import ThreadPool
 
 from flintreach.common.lifecycle import StartLog, StartStage
+from flintreach.common.log import log_event
 from flintreach.consensus.acceptor import Ballot, Slot
 
 FORMAT = "1"
@@ -130,6 +131,8 @@
         self.pending: list[Write] = []
         self.write_requested = Event()
         self.broken = False
+        self.writes_succeed = True
+        self.last_error = ""
         content = self.load_when_usable(first_run)
         self.connection: sqlite3.Connection = content.connection
         self.slots = content.slots
@@ -259,9 +262,16 @@
             if not batch:
                 continue
             synced = self.pool.apply(self.write, (batch,))
+            self.report(synced)
             for write in batch:
                 write.result.set(synced)
 
+    def report(self, synced: bool) -> None:
+        """Log that writes fail, or succeed again; once at each change."""
+        if synced != self.writes_succeed:
+            self.writes_succeed = synced
+            log_event("store_writes", succeed=synced, error=self.last_error)
+
     def write(self, batch: list[Write]) -> bool:
         """Write a batch in one commit; whether that succeeded. Runs on the writer thread."""
         try:
@@ -273,9 +283,11 @@
             for write in batch:
                 self.execute(write)
             self.connection.execute("commit")
+            self.last_error = ""
             return True
-        except sqlite3.Error:
+        except Exception as error:  # any other than sqlite3.Error would end the writer, and all would wait
             self.broken = True
+            self.last_error = str(error)
             return False
 
     def execute(self, write: Write) -> None:
--- a/tests/consensus/test_store.py
+++ b/tests/consensus/test_store.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
+from unittest import mock
 
 import gevent
 
@@ -113,6 +114,25 @@
 
 
 class TestWriting(StoreInFolder):
+    def test_a_value_that_sqlite_can_not_store_fails_and_later_writes_succeed(self) -> None:
+        """Guards against a writer that ended, so that its controller waited forever; changes are logged."""
+        beyond_64_bits = Ballot(1 << 70, "a")
+        lines: list[bool] = []
+
+        def log(_: str, succeed: bool, error: str) -> None:
+            lines.append(succeed)
+
+        with (
+            gevent.Timeout(5),
+            opened_store(self.folder) as store,
+            mock.patch("flintreach.consensus.store.log_event", log),
+        ):
+            for _ in range(2):
+                self.assertFalse(store.persist({"k": Slot(beyond_64_bits, beyond_64_bits, b"1")}))
+            for _ in range(2):
+                self.assertTrue(store.persist({"k": Slot(FIRST_BALLOT, FIRST_BALLOT, b"1")}))
+        self.assertEqual(lines, [False, True])
+
     def test_a_failed_write_is_reported_and_the_next_one_succeeds(self) -> None:
         with opened_store(self.folder / "a") as store:
             first = {"k": Slot(FIRST_BALLOT, FIRST_BALLOT, b"1")}
