--- a/flintreach/proxy/client_listener.py
+++ b/flintreach/proxy/client_listener.py
@@ -145,7 +145,7 @@
     def serve_next_request(self) -> bool:
         """Read the next request and start forwarding it; False if there is none.
 
-        It keeps no reference to the request, whose memory is free while the connection waits for the next one.
+        No reference to it is left, so its memory is free while the connection waits for the next one.
         """
         request = self.read_request()
         self.reading = False
